--- /dev/null
+++ b/src/main/java/io/quincelead/app/Constants.java
@@ -0,0 +1,177 @@
+package io.quincelead.app;
+
+/**
+ * Every fixed number of the service, with its unit and the reason for its value. Numbers that an operator may
+ * want to change live in {@link OperatorSettings}; numbers that the platform hands over live in {@link Settings}.
+ */
+public final class Constants {
+    private Constants() { }
+
+    // ---- protocol limits
+    /** Bytes. The protocol's limit for a request body and for a response to workers and users. */
+    public static final int MAX_BODY_BYTES = 64 * 1024;
+    /** Bytes. Room for the worst answers of the store: 512 KiB of items, or an unbounded watch response. */
+    public static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+    /** Tasks. The protocol's limit for one job. */
+    public static final int MAX_TASKS = 100_000;
+    /** Guards allowed for each operation of a transaction (protocol). */
+    public static final int GUARDS_PER_OP = 4;
+    /** Machines in one rental request: the record of their arrival must fit one transaction with two more changes. */
+    public static final int MAX_RENT = 10;
+    /** Machine names in one release request (protocol). */
+    public static final int MAX_RELEASE = 100;
+    /** Items in one page of a store listing (protocol: at most 1,000). */
+    public static final int LIST_PAGE = 500;
+
+    // ---- records
+    /** Tasks. One chunk record holds this many; 200 placements take about 5 KiB, under the 8 KiB a value may have. */
+    public static final int CHUNK_TASKS = 200;
+
+    // ---- leases and time
+    /** Parts of one. Steady clocks drift by 0.05%; both ends may be off, and a lease must never be thought longer. */
+    public static final double DRIFT = 0.002;
+    /** Parts of a worker's lease that a controller's lease may last: a dead controller's machines must reach
+     *  another one before their own lease ends. */
+    public static final double LEASE_SHARE = 0.42;
+    /** Renewals in one lease time: three may get lost before the lease does. */
+    public static final int RENEWALS_PER_LEASE = 4;
+    /** ms. The store's hold may end up to 100 ms late; a successor waits for the store, we stop this much earlier. */
+    public static final long LEASE_MARGIN_MS = 150;
+
+    // ---- timeouts (ms)
+    /** ms. Store answers usually take 10 ms and at times a few hundred. */
+    public static final long STORE_TIMEOUT_MS = 1500;
+    /** ms. A watch is kept this long when nothing changes. */
+    public static final long WATCH_HOLD_MS = 10_000;
+    /** ms. A watch that says nothing this long after its hold is taken for lost. */
+    public static final long WATCH_SLACK_MS = 3_000;
+    /** ms. Cloud answers take about 250 ms; renting may take longer. */
+    public static final long CLOUD_TIMEOUT_MS = 5_000;
+    /** ms. Direct orders and peer messages are small and near. */
+    public static final long NEAR_TIMEOUT_MS = 1_500;
+    /** ms. Users wait 2 s for a poll and 5 s for a submission; we answer 503 well before. */
+    public static final long USER_PATIENCE_MS = 1_400;
+    /** ms. Idle or half-open connections from outside are closed after this. */
+    public static final int SERVER_IDLE_MS = 75_000;
+    /** ms. A request must have come in whole by then. */
+    public static final int REQUEST_PARSE_MS = 10_000;
+    /** ms. A connection of ours that is idle this long is closed before the other side may do so. */
+    public static final long CLIENT_IDLE_MS = 60_000;
+
+    // ---- pace (ms)
+    /** ms. The least time between two rounds: gathers what comes together into one durable write. */
+    public static final long ROUND_GAP_MS = 60;
+    /** ms. The longest a report's answer waits for the round that its contents caused. */
+    public static final long REPORT_PATIENCE_MS = 400;
+    /** ms. Polls that come within this time share one read barrier. */
+    public static final long BARRIER_GAP_MS = 25;
+    /** ms. Leader's housekeeping: grants, allowances, reassignment. */
+    public static final long LEADER_TICK_MS = 250;
+    /** ms. Machines that come up within this time are granted in one write. */
+    public static final long GRANT_GAP_MS = 30;
+    /** ms. A controller must be up this long before machines are moved to it for balance. */
+    public static final long BALANCE_AFTER_MS = 4_000;
+    /** Machines moved for balance in one write. */
+    public static final int BALANCE_MOVES = 3;
+    /** Blocks are left alone while the smallest has at least this part of the largest one's capacity. */
+    public static final double BALANCE_SHARE = 0.55;
+    /** CPUs or GPUs. Smaller changes of an allowance aren't worth a write. */
+    public static final double ALLOWANCE_STEP = 0.25;
+    /** ms. Renting and returning are decided this often. */
+    public static final long RENT_TICK_MS = 1_000;
+    /** ms. Waiting work is looked at this often though nothing was heard. */
+    public static final long IDLE_ROUND_MS = 500;
+    /** ms. Machine health is checked this often. */
+    public static final long WORKER_TICK_MS = 500;
+    /** ms. Wait before a failed exchange with the store is tried again. */
+    public static final long RETRY_MS = 200;
+    /** Parts of the store's request limit that one controller's watch may use. */
+    public static final double WATCH_SHARE = 0.12;
+
+    // ---- workers
+    /** ms added to a worker's lease before its silence is taken for a dead or hung machine. */
+    public static final long SILENCE_SLACK_MS = 2_000;
+    /** ms. A machine that reports to the wrong controller this long is moved: its owner can't be reached. */
+    public static final long STRAY_MS = 2_500;
+    /** Failures in a row, without a success between, that make a machine suspect. */
+    public static final int SICK_FAILURES = 3;
+    /** ms. First pause of a job whose tasks fail everywhere; doubles with each failure. */
+    public static final long JOB_BACKOFF_MS = 1_000;
+    /** ms. The longest such pause. */
+    public static final long JOB_BACKOFF_MAX_MS = 30_000;
+    /** ms. A machine that refused a start for want of room gets no new one for this long. */
+    public static final long FULL_PAUSE_MS = 2_000;
+    /** Parts of cancel_s after which a machine that hasn't shown a cancelled task gone is returned. */
+    public static final double CANCEL_RELEASE_SHARE = 0.5;
+
+    /** Orders in one message: 400 of them stay well under 64 KiB. */
+    public static final int MAX_ORDERS = 400;
+    /** ms. A kill without effect is repeated after this. */
+    public static final long KILL_AGAIN_MS = 2_000;
+    /** Parts of report_s for which the answer to an idle machine's report is kept open for a start. */
+    public static final double PARK_IDLE_SHARE = 0.9;
+    /** The same for a machine that runs tasks: its next report, maybe of an end, waits for the answer. */
+    public static final double PARK_BUSY_SHARE = 0.3;
+    /** ms. Workers drop answers after 4 s; none is kept open longer than this. */
+    public static final long PARK_MAX_MS = 2_800;
+
+    // ---- cloud
+    /** Times the nominal boot time after which a booting machine is given up. */
+    public static final double BOOT_PATIENCE = 2.6;
+    /** ms added to that for the worker's first report. */
+    public static final long BOOT_SLACK_MS = 15_000;
+    /** ms. First pause after a refusal for want of capacity; doubles to the maximum. */
+    public static final long NO_CAPACITY_MS = 8_000;
+    /** ms. The longest such pause. */
+    public static final long NO_CAPACITY_MAX_MS = 45_000;
+    /** s. A machine is expected to stay about this long: spreads the cost of its start over its work. */
+    public static final double EXPECTED_STAY_S = 300;
+    /** Rentals whose outcome is open at one time: the cloud takes few calls a second. */
+    public static final int MAX_RENTALS_OPEN = 6;
+    /** ms. Marked machines are released this often. */
+    public static final long RELEASE_TICK_MS = 300;
+    /** ms. A released machine may still be listed this long. */
+    public static final long FORGET_RELEASED_MS = 180_000;
+    /** ms. The machine list is read this often, to find unexpected machines. */
+    public static final long LIST_EVERY_MS = 10_000;
+    /** s. An unexpected machine in the list must be at least this many list lags old before it is returned. */
+    public static final double STRANGER_LAGS = 4;
+    /** ms. Current prices are read this often. */
+    public static final long CATALOG_EVERY_MS = 60_000;
+    /** s. The minimum charge of a machine (protocol). */
+    public static final double MIN_CHARGE_S = 60;
+
+    // ---- placing
+    /** Times. Estimates are often wrong by half: a job is ranked as if it took this many times as long. */
+    public static final double ESTIMATE_DISTRUST = 1.3;
+    /** s added to twice the estimate as the due time of a job for which nobody states one. */
+    public static final double UNSTATED_DUE_S = 300;
+    /** s. A task expected to end within this time is not stopped for another: its room comes by itself. */
+    public static final double NEARLY_DONE_S = 5;
+    /** ms. A peer's word on its machines counts this long; without it the leader leaves that block alone. */
+    public static final long PEER_NEWS_MS = 3_000;
+    /** ms. Controllers tell the leader of their machines' fitness this often. */
+    public static final long PEER_TELL_MS = 700;
+
+    // ---- bounds
+    /** Connections from us to one address. */
+    public static final int MAX_SOCKETS_PER_TARGET = 6;
+    /** Connections that other controllers may open to us. */
+    public static final int PEER_SOCKETS = 32;
+    /** Calls that may wait for a connection to one address. */
+    public static final int MAX_WAITING_CALLS = 200;
+    /** Submissions and cancellations that may wait for the store. */
+    public static final int MAX_WAITING_COMMITS = 150;
+    /** Polls that may wait for a barrier. */
+    public static final int MAX_WAITING_POLLS = 300;
+    /** Unfinished jobs a controller takes before it answers 429: about 10 MB of records. */
+    public static final int MAX_OPEN_JOBS = 4_000;
+    /** Tasks of unfinished jobs taken before 429: their placements must fit the heap. */
+    public static final long MAX_OPEN_TASKS = 400_000;
+    /** Final states kept in memory; older ones are read from the store. */
+    public static final int FINAL_CACHE = 5_000;
+    /** s. What a user is told to wait when the service can't take a request. */
+    public static final int RETRY_AFTER_S = 1;
+    /** Parts of the connection limit that users and workers may take. */
+    public static final double SERVER_SOCKET_SHARE = 0.75;
+}
--- /dev/null
+++ b/src/main/java/io/quincelead/app/Controller.java
@@ -0,0 +1,127 @@
+package io.quincelead.app;
+
+import io.quincelead.cloud.Catalog;
+import io.quincelead.cloud.Fleet;
+import io.quincelead.jobs.Job;
+import io.quincelead.jobs.JobTable;
+import io.quincelead.jobs.UserApi;
+import io.quincelead.leader.Blocks;
+import io.quincelead.leader.Leader;
+import io.quincelead.net.Codec;
+import io.quincelead.net.Request;
+import io.quincelead.net.Transport;
+import io.quincelead.peers.Peers;
+import io.quincelead.placing.Rounds;
+import io.quincelead.state.Committer;
+import io.quincelead.state.Mirror;
+import io.quincelead.state.Session;
+import io.quincelead.state.StoreClient;
+import io.quincelead.workers.Desk;
+import io.quincelead.workers.MachineTable;
+
+/** One controller: the slices, wired. It knows no sockets and no clocks but the loop's and the transport's. */
+public final class Controller {
+    private final Settings settings;
+    private final Session session;
+    private final Mirror mirror;
+    private final Desk desk;
+    private final UserApi users;
+    private final Peers peers;
+    private final JobTable jobs;
+    private final Blocks blocks;
+    private final Rounds rounds;
+
+    public Controller(Loop loop, Transport transport, Settings settings, OperatorSettings operator) {
+        this.settings = settings;
+        StoreClient store = new StoreClient(loop, transport, settings);
+        mirror = new Mirror(loop, store, settings.store().rps());
+        session = new Session(loop, store, settings.member(), settings.clusterListen(),
+                Session.lifeMs(operator.blockLeaseS(), settings.workers().leaseS()));
+        blocks = new Blocks(settings, mirror);
+        jobs = new JobTable(loop, mirror);
+        MachineTable machines = new MachineTable(mirror);
+        Catalog catalog = new Catalog(mirror);
+        Leader leader = new Leader(loop, settings, session, mirror, store, blocks, jobs, machines, catalog);
+        peers = new Peers(loop, settings, blocks, transport, leader);
+        rounds = new Rounds(loop, settings, operator, session, mirror, store, blocks, jobs, machines, catalog, this::settle);
+        desk = new Desk(loop, settings, session, blocks, jobs, machines, mirror, store, transport, new Desk.Office() {
+            @Override public void stray(Desk.Stray stray) {
+                peers.stray(stray);
+            }
+
+            @Override public void wake() {
+                rounds.wake();
+            }
+
+            @Override public boolean roundPending() {
+                return rounds.pending();
+            }
+        });
+        rounds.wire(desk, leader, peers);
+        peers.wire(desk);
+        new Fleet(loop, settings, operator, session, mirror, store, blocks, jobs, machines, catalog, leader, transport, rounds::wake);
+        Committer committer = new Committer(loop, store, mirror);
+        users = new UserApi(loop, settings, session, mirror, store, committer, blocks, jobs, catalog);
+        mirror.onChange(() -> {
+            if (work()) {
+                rounds.wake();
+            }
+            desk.settle();
+        });
+        loop.every(Constants.IDLE_ROUND_MS, () -> {
+            if (work()) {
+                rounds.wake();
+            }
+        });
+        session.start();
+        mirror.start();
+    }
+
+    private void settle() {
+        desk.settle();
+    }
+
+    private boolean work() {
+        if (blocks.mine() == null) {
+            return false;
+        }
+        for (Job j : jobs.all()) {
+            if (!j.cancelled() && j.pendingCount() > 0 && j.controller.equals(settings.member()) || j.spec.gang()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Users, workers and health checks. */
+    public void handle(Request request) {
+        switch (request.path) {
+            case "/ready" -> {
+                if (!request.method.equals("GET")) {
+                    request.refuse(405, "only GET is allowed here");
+                } else if (users.ready()) {
+                    request.answer(200, Codec.map().put("ready", true));
+                } else {
+                    request.later(503, "not ready");
+                }
+            }
+            case "/v1/report" -> {
+                if (request.method.equals("POST")) {
+                    desk.report(request);
+                } else {
+                    request.refuse(405, "only POST is allowed here");
+                }
+            }
+            default -> users.handle(request);
+        }
+    }
+
+    /** Other controllers. */
+    public void handlePeer(Request request) {
+        if (request.method.equals("POST")) {
+            peers.handle(request);
+        } else {
+            request.answer(405, Codec.JSON, Codec.map().put("error", "only POST is allowed here"), 0);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quincelead/app/Main.java
@@ -0,0 +1,126 @@
+package io.quincelead.app;
+
+import io.quincelead.net.HttpClient;
+import io.quincelead.net.HttpServer;
+import java.io.File;
+import java.io.PrintWriter;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import picocli.CommandLine;
+
+/** The command line. */
+@CommandLine.Command(name = "quincelead", mixinStandardHelpOptions = true, version = "quincelead 0.1.0",
+        description = "Cluster scheduler: rents machines, runs jobs on them and answers users.",
+        footer = {"", "Environment: LOG_LEVEL is error, info (default) or debug; logs go to standard error.",
+            "Exit: 1 when settings can't be used, 2 for a wrong command line."})
+public final class Main implements Callable<Integer> {
+    @CommandLine.Option(names = "--config", paramLabel = "FILE", description = "The platform's settings (TOML).")
+    private File config;
+
+    @CommandLine.Option(names = "--operator-settings", paramLabel = "FILE", description = "The operators' own settings (JSON).")
+    private File operatorFile;
+
+    @CommandLine.Option(names = "--check", description = "Check the settings and exit.")
+    private boolean check;
+
+    @CommandLine.Option(names = "--rehearse", hidden = true, description = "Exercise the start for the class-data archive and exit.")
+    private boolean rehearse;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    public static void main(String[] args) {
+        logging();
+        int code = new CommandLine(new Main()).execute(args);
+        if (code != RUNNING) {
+            System.exit(code);
+        }
+    }
+
+    private static final int RUNNING = -1;
+
+    private static void logging() {
+        String level = System.getenv().getOrDefault("LOG_LEVEL", "info").toLowerCase(Locale.ROOT);
+        if (!Set.of("error", "info", "debug").contains(level)) {
+            level = "info";
+        }
+        System.setProperty("org.jboss.logging.provider", "slf4j");
+        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error");
+        System.setProperty("org.slf4j.simpleLogger.log.io.quincelead", level);
+        System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
+        System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
+    }
+
+    @Override public Integer call() throws Exception {
+        PrintWriter err = spec.commandLine().getErr();
+        if (rehearse) {
+            Rehearsal.run();
+            return 0;
+        }
+        if (config == null) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "Missing required option: '--config=FILE'");
+        }
+        Settings settings;
+        OperatorSettings operator;
+        try {
+            settings = Settings.load(config);
+            operator = operatorFile == null ? OperatorSettings.DEFAULTS : OperatorSettings.load(operatorFile);
+        } catch (Settings.Invalid e) {
+            err.println("quincelead: " + e.getMessage());
+            return 1;
+        }
+        if (check) {
+            err.println("quincelead: the settings are in order");
+            return 0;
+        }
+        start(settings, operator);
+        return RUNNING;
+    }
+
+    /** Starts a controller on real sockets. */
+    static XnioWorker start(Settings settings, OperatorSettings operator) throws Exception {
+        Logger log = LoggerFactory.getLogger(Main.class);
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 0)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.THREAD_DAEMON, false)
+                .getMap());
+        XnioLoop loop = new XnioLoop(worker.getIoThread());
+        int sockets = (int) (settings.limits().maxConnections() * Constants.SERVER_SOCKET_SHARE);
+        loop.after(0, () -> {
+            Controller controller = new Controller(loop, new HttpClient(loop, worker.getIoThread()), settings, operator);
+            // Servers are started off the loop: binding waits for the accept thread.
+            Thread starter = new Thread(() -> {
+                try {
+                    new HttpServer(worker, settings.listen(), sockets, controller::handle).start();
+                    new HttpServer(worker, settings.clusterListen(), Constants.PEER_SOCKETS, controller::handlePeer).start();
+                    log.info("{} serves on {} and {}", settings.member(), settings.listen(), settings.clusterListen());
+                } catch (RuntimeException e) {
+                    log.error("can't listen on {} or {}: {}", settings.listen(), settings.clusterListen(), e.getMessage());
+                    System.exit(1);
+                }
+            }, "starter");
+            starter.start();
+        });
+        return worker;
+    }
+
+    /** A free port on loopback, for the rehearsal. */
+    static int freePort() throws Exception {
+        try (ServerSocket s = new ServerSocket()) {
+            s.bind(new InetSocketAddress("127.0.0.1", 0));
+            return s.getLocalPort();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quincelead/app/Rehearsal.java
@@ -0,0 +1,94 @@
+package io.quincelead.app;
+
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import io.quincelead.net.Codec;
+import io.quincelead.net.HttpClient;
+import io.quincelead.net.HttpServer;
+import io.quincelead.net.Request;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * Starts a controller on loopback against a store that only refuses, and sends it a few requests, so that the classes
+ * of a real start are loaded and the build can archive them.
+ */
+final class Rehearsal {
+    private Rehearsal() { }
+
+    static void run() throws Exception {
+        int user = Main.freePort();
+        int peer = Main.freePort();
+        int outside = Main.freePort();
+        String toml = """
+                member = "r"
+                domain = "z"
+                listen = "127.0.0.1:%d"
+                cluster_listen = "127.0.0.1:%d"
+                [external]
+                cloud = "127.0.0.1:%d"
+                state = "127.0.0.1:%d"
+                [settings]
+                count = 1
+                zones = ["z"]
+                [[settings.teams]]
+                name = "t"
+                cpus = 1.0
+                cpus_max = 2.0
+                [[settings.objectives]]
+                kind = "wait"
+                class = "c"
+                within_s = 2.0
+                share = 0.9
+                [settings.workers]
+                report_s = 1.0
+                lease_s = 10.0
+                cancel_s = 40.0
+                [settings.state]
+                rps = 100.0
+                write_rps = 50.0
+                value_kb = 8.0
+                txn_ops = 12
+                [settings.cloud]
+                rps = 2.0
+                [settings.limits]
+                max_connections = 100
+                """.formatted(user, peer, outside, outside);
+        Settings settings = Settings.read(new TomlMapper().readTree(toml), "rehearsal");
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        new HttpServer(worker, "127.0.0.1:" + outside, 10, Rehearsal::stand).start();
+        XnioWorker served = Main.start(settings, OperatorSettings.DEFAULTS);
+        HttpClient client = new HttpClient(new XnioLoop(worker.getIoThread()), worker.getIoThread());
+        byte[] job = Codec.CBOR.write(Codec.map().put("nameId", "wk-1").put("vcpus", 1.5));
+        Thread.sleep(1500);
+        CountDownLatch done = new CountDownLatch(4);
+        worker.getIoThread().execute(() -> {
+            client.call("127.0.0.1:" + user, "GET", "/ready", Codec.CBOR, null, 2000, (s, b) -> done.countDown());
+            client.call("127.0.0.1:" + user, "POST", "/v2/runs", Codec.CBOR, job, 2000, (s, b) -> done.countDown());
+            client.call("127.0.0.1:" + user, "POST", "/v1/report", Codec.CBOR, job, 2000, (s, b) -> done.countDown());
+            client.call("127.0.0.1:" + peer, "POST", "/peer/news", Codec.JSON, Codec.JSON.write(Codec.map().put("from", "x")), 2000, (s, b) -> done.countDown());
+        });
+        done.await(5, TimeUnit.SECONDS);
+        Thread.sleep(500);
+        served.shutdownNow();
+        worker.shutdownNow();
+    }
+
+    /** A store with nothing in it that grants holds, so the start goes as far as a real one. */
+    private static void stand(Request r) {
+        if (r.path.equals("/holds") || r.path.endsWith("/touch")) {
+            r.answer(200, Codec.map().put("grant", 1));
+        } else if (r.path.equals("/commit")) {
+            r.answer(200, Codec.map().put("generation", 2));
+        } else if (r.path.equals("/store")) {
+            r.answer(200, Codec.map().put("generation", 1).set("items", Codec.list()));
+        } else if (r.path.equals("/watch")) {
+            r.refuse(503, "trouble");
+        } else {
+            r.answer(404, Codec.map().put("generation", 1));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quincelead/app/XnioLoop.java
@@ -0,0 +1,39 @@
+package io.quincelead.app;
+
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.XnioIoThread;
+
+/** The loop of a real process: the single I/O thread of XNIO, so no message changes threads. */
+public final class XnioLoop implements Loop {
+    private static final Logger LOG = LoggerFactory.getLogger(XnioLoop.class);
+    private final XnioIoThread thread;
+
+    public XnioLoop(XnioIoThread thread) {
+        this.thread = thread;
+    }
+
+    @Override public long now() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    @Override public long wall() {
+        return System.currentTimeMillis();
+    }
+
+    @Override public void after(long ms, Runnable task) {
+        Runnable guarded = () -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                LOG.error("a task of the event loop failed", e);
+            }
+        };
+        if (ms <= 0) {
+            thread.execute(guarded);
+        } else {
+            thread.executeAfter(guarded, ms, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quincelead/cloud/Fleet.java
@@ -0,0 +1,538 @@
+package io.quincelead.cloud;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quincelead.app.Constants;
+import io.quincelead.app.Loop;
+import io.quincelead.app.OperatorSettings;
+import io.quincelead.app.Settings;
+import io.quincelead.jobs.Job;
+import io.quincelead.jobs.JobSpec;
+import io.quincelead.jobs.JobTable;
+import io.quincelead.jobs.Placement;
+import io.quincelead.leader.Blocks;
+import io.quincelead.leader.Leader;
+import io.quincelead.net.Codec;
+import io.quincelead.net.Transport;
+import io.quincelead.placing.QueueOrder;
+import io.quincelead.placing.Tebas;
+import io.quincelead.state.Keys;
+import io.quincelead.state.Mirror;
+import io.quincelead.state.Session;
+import io.quincelead.state.StoreClient;
+import io.quincelead.state.Txn;
+import io.quincelead.workers.MachineTable;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The leader's part with the cloud: reads the catalog, rents ahead of need, returns what is idle, faulty, silent or
+ * unexpected. Every rental is on record before it is asked for, under a name that is never used again.
+ */
+public final class Fleet {
+    private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+    private final Loop loop;
+    private final Settings settings;
+    private final OperatorSettings operator;
+    private final Session session;
+    private final Mirror mirror;
+    private final StoreClient store;
+    private final Blocks blocks;
+    private final JobTable jobs;
+    private final MachineTable machines;
+    private final Catalog catalog;
+    private final Leader leader;
+    private final CloudClient cloud;
+    private final QueueOrder order;
+    private final Runnable wake;
+
+    /** What can be rented. */
+    private record Option(Catalog.Shape shape, String site, boolean spot) {
+        String id() {
+            return shape.label() + "/" + site + "/" + (spot ? "spot" : "ordinary");
+        }
+    }
+
+    private record Refusal(long until, long pause) { }
+
+    /** A rental on record: its outcome is not known until the cloud has answered under this very name. */
+    private record Rental(String name, String shape, String site, boolean spot, int howMany) { }
+
+    private final Map<String, Rental> rentals = new LinkedHashMap<>();
+    private final Set<String> asking = new HashSet<>();
+    private final Map<String, Refusal> refusals = new HashMap<>();
+    private final Map<String, Long> idleSince = new HashMap<>();
+    private final Set<String> releasing = new HashSet<>();
+    private final Map<String, Long> released = new HashMap<>();
+    private final Map<String, Long> goneAt = new HashMap<>();
+    /** Blocks as the change being made leaves them: several machines of one block may leave together. */
+    private final Map<String, Blocks.Block> shrunk = new HashMap<>();
+    private long names;
+    private boolean fetching;
+    private long catalogAt = Long.MIN_VALUE / 2;
+    private long listAt;
+    private boolean writing;
+
+    public Fleet(Loop loop, Settings settings, OperatorSettings operator, Session session, Mirror mirror, StoreClient store,
+            Blocks blocks, JobTable jobs, MachineTable machines, Catalog catalog, Leader leader, Transport transport, Runnable wake) {
+        this.loop = loop;
+        this.settings = settings;
+        this.operator = operator;
+        this.session = session;
+        this.mirror = mirror;
+        this.store = store;
+        this.blocks = blocks;
+        this.jobs = jobs;
+        this.machines = machines;
+        this.catalog = catalog;
+        this.leader = leader;
+        this.cloud = new CloudClient(loop, transport, settings);
+        this.order = new QueueOrder(settings);
+        this.wake = wake;
+        mirror.view(Keys.RENTAL, new Mirror.View() {
+            @Override public void put(String key, JsonNode v, long stamp) {
+                String name = key.substring(Keys.RENTAL.length());
+                rentals.put(name, new Rental(name, v.path("k").asText(), v.path("s").asText(), v.path("p").asBoolean(), v.path("n").asInt()));
+            }
+
+            @Override public void remove(String key) {
+                rentals.remove(key.substring(Keys.RENTAL.length()));
+            }
+        });
+        loop.every(Constants.RENT_TICK_MS, this::tick);
+        loop.every(Constants.RELEASE_TICK_MS, this::release);
+    }
+
+    private void tick() {
+        if (!leader.leading()) {
+            idleSince.clear();
+            return;
+        }
+        long now = loop.now();
+        if (!fetching && now - catalogAt > (catalog.known() ? Constants.CATALOG_EVERY_MS : Constants.RENT_TICK_MS)) {
+            readCatalog();
+        }
+        if (!catalog.known()) {
+            return;
+        }
+        rentals.values().forEach(this::ask);
+        if (now - listAt > Constants.LIST_EVERY_MS && !cloud.crowded()) {
+            listAt = now;
+            readList(null);
+        }
+        if (!writing) {
+            returnSome();
+        }
+        if (!writing) {
+            rentSome();
+        }
+    }
+
+    private void commit(Txn txn, Runnable done) {
+        writing = true;
+        store.commit(txn, outcome -> {
+            writing = false;
+            if (outcome.result() == Txn.Result.DONE) {
+                mirror.applied(txn, outcome.generation());
+                done.run();
+            }
+        });
+    }
+
+    // ---- catalog and list
+
+    private void readCatalog() {
+        fetching = true;
+        cloud.call("GET", "/catalog", null, true, (status, body) -> {
+            fetching = false;
+            if (status != 200 || !body.path("shapes").isArray()) {
+                return;
+            }
+            catalogAt = loop.now();
+            Txn txn = leader.txn();
+            List<Catalog.Shape> read = new ArrayList<>();
+            for (JsonNode n : body.path("shapes")) {
+                Catalog.Shape s = Catalog.Shape.read(n);
+                if (s.label().isEmpty() || s.vcpus() <= 0 || s.ramGb() <= 0 || s.sites().isEmpty()) {
+                    LOG.info("a machine type of the catalog can't be read: {}", n);
+                    continue;
+                }
+                read.add(s);
+                if (mirror.stamp(Keys.SHAPE + s.label()) == 0 && txn.fits(1, 0, store.txnOps())) {
+                    txn.put(Keys.SHAPE + s.label(), s.encode());
+                }
+            }
+            if (txn.isEmpty()) {
+                read.forEach(catalog::current);
+            } else {
+                commit(txn, () -> read.stream().filter(s -> catalog.get(s.label()) != null).forEach(catalog::current));
+            }
+        });
+    }
+
+    /** Looks for machines that nobody knows, and for failed ones. The list lags: absence from it means nothing. */
+    private void readList(String after) {
+        cloud.call("GET", "/rentals?limit=500" + (after == null ? "" : "&after=" + after), null, false, (status, body) -> {
+            if (status != 200 || !leader.leading()) {
+                return;
+            }
+            long now = loop.now();
+            released.values().removeIf(t -> now - t > Constants.FORGET_RELEASED_MS);
+            String last = after;
+            Txn txn = leader.txn();
+            shrunk.clear();
+            for (JsonNode h : body.path("hosts")) {
+                String host = h.path("nameId").asText();
+                last = host;
+                MachineTable.Machine m = machines.get(host);
+                boolean failed = h.path("status").asText().equals("failed");
+                double age = h.path("ageS").asDouble();
+                if (m == null && !released.containsKey(host) && rentals.isEmpty()
+                        && age > Constants.STRANGER_LAGS * settings.cloudLimits().listLagS() && txn.fits(1, 1, store.txnOps())) {
+                    LOG.info("machine {} is in the list and on no record; it is returned", host);
+                    MachineTable.Machine stranger = new MachineTable.Machine(host, h.path("shape").asText(), h.path("site").asText(),
+                            h.path("preemptible").asBoolean(), null, loop.wall() - (long) (age * 1000), true);
+                    txn.guard(stranger.key(), 0).put(stranger.key(), stranger.encode());
+                } else if (m != null && failed && !m.returning()) {
+                    giveBack(txn, m, "failed");
+                }
+            }
+            if (!txn.isEmpty() && !writing) {
+                commit(txn, () -> { });
+            }
+            if (body.path("truncated").asBoolean() && last != null) {
+                readList(last);
+            }
+        });
+    }
+
+    /** Adds a machine's return to a change: marked on record and out of its block at once, so nothing more is placed there. */
+    private boolean giveBack(Txn txn, MachineTable.Machine m, String why) {
+        String owner = blocks.owner(m.host());
+        if (!txn.fits(2, 2, store.txnOps())) {
+            return false;
+        }
+        if (owner != null) {
+            if (blocks.node(owner) == null) {
+                return false;
+            }
+            Blocks.Block block = shrunk.computeIfAbsent(owner, o -> blocks.of(o).copy());
+            block.machines().remove(m.host());
+            txn.guard(block.key(), mirror.stamp(block.key())).put(block.key(), block.encode(), blocks.node(owner).grant());
+        }
+        LOG.info("machine {} ({}, {}{}) is returned: {}", m.host(), m.shape(), m.site(), m.spot() ? ", spot" : "", why);
+        txn.guard(m.key(), mirror.stamp(m.key())).put(m.key(), m.returned().encode());
+        return true;
+    }
+
+    // ---- renting
+
+    /** A machine, real or planned, with the room that is left in the plan. */
+    private static final class Room {
+        final Option option;
+        double cpu;
+        double ram;
+        double gpu;
+
+        Room(Option option) {
+            this.option = option;
+            cpu = option.shape.vcpus();
+            ram = option.shape.ramGb();
+            gpu = option.shape.cards();
+        }
+
+        int cap(JobSpec s) {
+            return Tebas.remainCap(cpu, ram, gpu, s.vcpus(), s.ramGb(), s.cards());
+        }
+
+        void take(JobSpec s, int n) {
+            cpu -= n * s.vcpus();
+            ram -= n * s.ramGb();
+            gpu -= n * s.cards();
+        }
+    }
+
+    private static boolean allows(JobSpec s, Option o) {
+        return Catalog.allowed(s, o.shape.label()) && (s.site() == null || s.site().equals(o.site)) && (s.preemptible() || !o.spot)
+                && o.shape.holds(s);
+    }
+
+    /** Fills what there is and what is on its way with the waiting work; what is left over is rented for. */
+    private void rentSome() {
+        long now = loop.now();
+        List<Room> rooms = new ArrayList<>();
+        for (MachineTable.Machine m : machines.all()) {
+            Catalog.Shape shape = catalog.get(m.shape());
+            if (!m.returning() && shape != null) {
+                Room r = new Room(new Option(shape, m.site(), m.spot()));
+                for (Placement p : jobs.on(m.host()).values()) {
+                    r.take(p.job.spec, 1);
+                }
+                rooms.add(r);
+            }
+        }
+        for (Rental r : rentals.values()) {
+            Catalog.Shape shape = catalog.get(r.shape);
+            for (int i = 0; shape != null && i < r.howMany; i++) {
+                rooms.add(new Room(new Option(shape, r.site, r.spot)));
+            }
+        }
+        Map<String, double[]> use = new HashMap<>();
+        for (Job j : jobs.all()) {
+            double[] u = use.computeIfAbsent(j.spec.owner(), t -> new double[2]);
+            u[0] += j.placedCount() * j.spec.vcpus();
+            u[1] += j.placedCount() * j.spec.cards();
+        }
+        List<QueueOrder.Ranked> queue = new ArrayList<>();
+        for (Job j : jobs.all()) {
+            if (!j.cancelled() && j.pendingCount() > 0 && now >= j.notBefore) {
+                queue.add(order.rank(j, true, loop.wall()));
+            }
+        }
+        queue.sort(QueueOrder.ORDER);
+        Map<Option, Integer> buy = new LinkedHashMap<>();
+        for (QueueOrder.Ranked q : queue) {
+            plan(q.job(), rooms, use, buy, now);
+        }
+        Txn txn = leader.txn();
+        List<Rental> asked = new ArrayList<>();
+        for (Map.Entry<Option, Integer> b : buy.entrySet()) {
+            if (rentals.size() + asked.size() >= Constants.MAX_RENTALS_OPEN || !txn.fits(1, 0, store.txnOps())) {
+                break;
+            }
+            Option o = b.getKey();
+            String name = "r-" + blocks.lead().term() + "-" + session.incarnation() + "-" + ++names;
+            int n = Math.min(b.getValue(), Math.min(Constants.MAX_RENT, store.txnOps() - 2));
+            Rental r = new Rental(name, o.shape.label(), o.site, o.spot, n);
+            txn.put(Keys.RENTAL + name, Codec.map().put("k", r.shape).put("s", r.site).put("p", r.spot).put("n", n));
+            asked.add(r);
+        }
+        if (!asked.isEmpty()) {
+            commit(txn, () -> asked.forEach(this::ask));
+        }
+    }
+
+    private void plan(Job job, List<Room> rooms, Map<String, double[]> use, Map<Option, Integer> buy, long now) {
+        JobSpec s = job.spec;
+        Settings.Team team = settings.teams().get(s.owner());
+        if (team == null) {
+            return;
+        }
+        double[] u = use.computeIfAbsent(s.owner(), t -> new double[2]);
+        int quota = Tebas.remainCap(team.cpusMax() - u[0], Double.MAX_VALUE, team.gpusMax() - u[1], s.vcpus(), 0, s.cards());
+        double drain = s.urgency().ordinal() <= JobSpec.Urgency.HIGH.ordinal() ? operator.drainBacklogS() / 3 : operator.drainBacklogS();
+        double part = s.mode() == JobSpec.Mode.ARRAY ? Math.min(1, Math.max(s.runtimeS(), 1) / drain) : 1;
+        int need = Math.min(quota, (int) Math.ceil(job.pendingCount() * part));
+        u[0] += need * s.vcpus();
+        u[1] += need * s.cards();
+        for (Room r : rooms) {
+            if (need <= 0) {
+                return;
+            }
+            if (allows(s, r.option)) {
+                int n = Math.min(need, r.cap(s));
+                r.take(s, n);
+                need -= n;
+            }
+        }
+        while (need > 0) {
+            Option best = cheapest(s, need, now);
+            if (best == null) {
+                return;
+            }
+            Room r = new Room(best);
+            int n = Math.min(need, r.cap(s));
+            r.take(s, n);
+            need -= n;
+            rooms.add(r);
+            buy.merge(best, 1, Integer::sum);
+        }
+    }
+
+    private Option cheapest(JobSpec s, int need, long now) {
+        Option best = null;
+        double bestCost = Double.MAX_VALUE;
+        for (Catalog.Shape shape : catalog.all()) {
+            int cap = shape.holds(s) ? Tebas.remainCap(shape.vcpus(), shape.ramGb(), shape.cards(), s.vcpus(), s.ramGb(), s.cards()) : 0;
+            if (cap <= 0) {
+                continue;
+            }
+            for (String site : shape.sites()) {
+                for (boolean spot : new boolean[] {true, false}) {
+                    Option o = new Option(shape, site, spot);
+                    Refusal refusal = refusals.get(o.id());
+                    if (!allows(s, o) || refusal != null && now < refusal.until) {
+                        continue;
+                    }
+                    // A machine costs for its boot and the fetch too, so a slow start makes its work dearer.
+                    double start = shape.bootS() + s.sizeGb() / Math.max(shape.pullGbPerS(), 0.01);
+                    double cost = shape.price(spot) / Math.min(cap, need) * (1 + start / Constants.EXPECTED_STAY_S);
+                    if (cost < bestCost) {
+                        best = o;
+                        bestCost = cost;
+                    }
+                }
+            }
+        }
+        return best;
+    }
+
+    /** Asks for a recorded rental; repeated under the same name until the cloud has said yes or no. */
+    private void ask(Rental r) {
+        if (!leader.leading() || !asking.add(r.name)) {
+            return;
+        }
+        ObjectNode body = Codec.map().put("rental", r.name).put("shape", r.shape).put("site", r.site).put("preemptible", r.spot).put("howMany", r.howMany);
+        cloud.call("POST", "/rentals", body, false, (status, answer) -> {
+            String id = r.shape + "/" + r.site + "/" + (r.spot ? "spot" : "ordinary");
+            Txn txn = leader.txn().remove(Keys.RENTAL + r.name);
+            int got = 0;
+            if (status == 200 && answer.path("hosts").isArray()) {
+                for (JsonNode h : answer.path("hosts")) {
+                    MachineTable.Machine m = new MachineTable.Machine(h.asText(), r.shape, r.site, r.spot, null, loop.wall(), false);
+                    got++;
+                    if (machines.get(m.host()) == null) {
+                        txn.guard(m.key(), 0).put(m.key(), m.encode());
+                    }
+                }
+                LOG.info("rented {} of {} {} in {}{}", got, r.howMany, r.shape, r.site, r.spot ? ", spot" : "");
+            } else if (status == 400) {
+                LOG.error("the cloud calls a rental malformed: {}", body);
+            } else if (status != 503 || answer == null || !answer.path("error").asText().contains("capacity")) {
+                loop.after(Constants.RENT_TICK_MS, () -> asking.remove(r.name));
+                return;
+            }
+            if (got < r.howMany) {
+                Refusal before = refusals.get(id);
+                long pause = before == null || loop.now() - before.until > before.pause ? Constants.NO_CAPACITY_MS
+                        : Math.min(Constants.NO_CAPACITY_MAX_MS, before.pause * 2);
+                refusals.put(id, new Refusal(loop.now() + pause, pause));
+            }
+            settleRental(r, txn);
+        });
+    }
+
+    private void settleRental(Rental r, Txn txn) {
+        store.commit(txn, outcome -> {
+            if (outcome.result() == Txn.Result.DONE) {
+                mirror.applied(txn, outcome.generation());
+            }
+            // Otherwise the record stands and the same name is asked for again; the answer will be the same.
+            loop.after(Constants.RETRY_MS, () -> asking.remove(r.name));
+        });
+    }
+
+    // ---- returning
+
+    private void returnSome() {
+        long now = loop.now();
+        double inUse = 0;
+        double free = 0;
+        List<MachineTable.Machine> idle = new ArrayList<>();
+        Txn txn = leader.txn();
+        shrunk.clear();
+        Set<String> present = new HashSet<>();
+        for (MachineTable.Machine m : machines.all()) {
+            Catalog.Shape shape = catalog.get(m.shape());
+            present.add(m.host());
+            if (m.returning() || shape == null) {
+                continue;
+            }
+            double age = (loop.wall() - m.rentedAt()) / 1000.0;
+            if (m.addr() == null) {
+                if (age > shape.bootS() * Constants.BOOT_PATIENCE + Constants.BOOT_SLACK_MS / 1000.0) {
+                    giveBack(txn, m, "never came up");
+                }
+                continue;
+            }
+            double used = 0;
+            for (Placement p : jobs.on(m.host()).values()) {
+                used += p.job.spec.vcpus();
+            }
+            inUse += used;
+            free += shape.vcpus() - used;
+            if (!jobs.on(m.host()).isEmpty()) {
+                idleSince.remove(m.host());
+            } else if (now - idleSince.computeIfAbsent(m.host(), h -> now) > operator.idleReturnS() * 1000 && age > Constants.MIN_CHARGE_S) {
+                idle.add(m);
+            }
+        }
+        idleSince.keySet().retainAll(present);
+        idle.sort(Comparator.comparingDouble(m -> -catalog.get(m.shape()).price(m.spot()) / catalog.get(m.shape()).vcpus()));
+        for (MachineTable.Machine m : idle) {
+            double c = catalog.get(m.shape()).vcpus();
+            if (free - c < inUse * operator.headroom() || !giveBack(txn, m, "idle")) {
+                continue;
+            }
+            free -= c;
+        }
+        if (!txn.isEmpty()) {
+            commit(txn, this::release);
+        }
+    }
+
+    /** Releases what is marked; the cloud's 200 is the evidence that everything on the machines is gone. */
+    private void release() {
+        if (!leader.leading()) {
+            return;
+        }
+        List<String> hosts = new ArrayList<>();
+        Txn cleared = leader.txn();
+        for (MachineTable.Machine m : machines.all()) {
+            if (!m.returning() || blocks.owner(m.host()) != null) {
+                continue;
+            }
+            Long gone = goneAt.get(m.host());
+            if (gone == null) {
+                if (!releasing.contains(m.host()) && hosts.size() < Constants.MAX_RELEASE) {
+                    hosts.add(m.host());
+                }
+            } else if (mirror.generation() >= gone) {
+                // Nothing can have been placed there after its mark; all that was, we know by now.
+                for (Placement p : jobs.on(m.host()).values()) {
+                    if (!p.over()) {
+                        p.become(Placement.Phase.GONE);
+                        wake.run();
+                    }
+                }
+                if (jobs.on(m.host()).isEmpty() && cleared.fits(1, 1, store.txnOps())) {
+                    cleared.guard(m.key(), mirror.stamp(m.key())).remove(m.key());
+                }
+            }
+        }
+        goneAt.keySet().removeIf(h -> machines.get(h) == null);
+        if (!cleared.isEmpty() && !writing) {
+            commit(cleared, () -> { });
+        }
+        if (!hosts.isEmpty()) {
+            releaseNow(hosts);
+        }
+    }
+
+    private void releaseNow(List<String> hosts) {
+        releasing.addAll(hosts);
+        Map<String, Long> marked = new HashMap<>();
+        hosts.forEach(h -> marked.put(h, mirror.stamp(Keys.MACHINE + h)));
+        ObjectNode body = Codec.map();
+        hosts.forEach(body.putArray("hosts")::add);
+        cloud.call("POST", "/rentals/release", body, true, (status, answer) -> {
+            releasing.removeAll(hosts);
+            if (status == 200) {
+                hosts.forEach(h -> {
+                    goneAt.put(h, marked.get(h));
+                    released.put(h, loop.now());
+                    idleSince.remove(h);
+                });
+                release();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quincelead/jobs/Chunk.java
@@ -0,0 +1,157 @@
+package io.quincelead.jobs;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quincelead.app.Constants;
+import io.quincelead.net.Codec;
+import io.quincelead.state.Keys;
+import java.util.BitSet;
+import java.util.TreeMap;
+
+/** The recorded states of up to {@link Constants#CHUNK_TASKS} tasks of a job: done, placed, or else pending. */
+public final class Chunk {
+    public final Job job;
+    public final int number;
+    /** The highest attempt used so far. */
+    public final long lastTry;
+    public final BitSet done;
+    public final TreeMap<Integer, Placement> placed;
+
+    Chunk(Job job, int number, long lastTry, BitSet done, TreeMap<Integer, Placement> placed) {
+        this.job = job;
+        this.number = number;
+        this.lastTry = lastTry;
+        this.done = done;
+        this.placed = placed;
+    }
+
+    static Chunk empty(Job job, int number) {
+        return new Chunk(job, number, 0, new BitSet(), new TreeMap<>());
+    }
+
+    public String key() {
+        return key(job.spec.id(), number);
+    }
+
+    static String key(String id, int number) {
+        return Keys.CHUNK + id + "/" + String.format("%04d", number);
+    }
+
+    public int first() {
+        return number * Constants.CHUNK_TASKS;
+    }
+
+    public int size() {
+        return Math.min(Constants.CHUNK_TASKS, job.spec.members() - first());
+    }
+
+    public int pending() {
+        return size() - done.cardinality() - placed.size();
+    }
+
+    /** Whether the task waits for a place on record. */
+    public boolean wasPending(int index) {
+        return !placed.containsKey(index) && !done.get(index - first());
+    }
+
+    public Edit edit() {
+        return new Edit(this);
+    }
+
+    static Chunk decode(Job job, int number, JsonNode n, Chunk before, long now) {
+        BitSet done = new BitSet();
+        JsonNode d = n.path("d");
+        for (int i = 0; i + 1 < d.size(); i += 2) {
+            done.set(d.get(i).asInt(), d.get(i + 1).asInt());
+        }
+        TreeMap<Integer, Placement> placed = new TreeMap<>();
+        JsonNode p = n.path("p");
+        int first = number * Constants.CHUNK_TASKS;
+        for (int i = 0; i + 3 < p.size(); i += 4) {
+            int index = first + p.get(i).asInt();
+            Placement next = new Placement(job, index, p.get(i + 1).asText(), p.get(i + 2).asLong(), p.get(i + 3).asInt() == 1, now);
+            Placement old = before == null ? null : before.placed.get(index);
+            if (old != null && old.same(index, next.host, next.attempt)) {
+                next.inherit(old);
+            }
+            placed.put(index, next);
+        }
+        return new Chunk(job, number, n.path("t").asLong(), done, placed);
+    }
+
+    /** A planned change of a chunk. It becomes real only when the store has confirmed it. */
+    public static final class Edit {
+        private final Chunk chunk;
+        private final BitSet done;
+        private final TreeMap<Integer, Placement> placed;
+        private long lastTry;
+        private boolean changed;
+
+        private Edit(Chunk chunk) {
+            this.chunk = chunk;
+            this.done = (BitSet) chunk.done.clone();
+            this.placed = new TreeMap<>(chunk.placed);
+            this.lastTry = chunk.lastTry;
+        }
+
+        public Chunk chunk() {
+            return chunk;
+        }
+
+        public boolean changed() {
+            return changed;
+        }
+
+        public boolean pending(int index) {
+            return !placed.containsKey(index) && !done.get(index - chunk.first());
+        }
+
+        /** Whether the plan leaves the task on its machine. */
+        public boolean holds(int index) {
+            return placed.containsKey(index);
+        }
+
+        public int placedCount() {
+            return placed.size();
+        }
+
+        public void done(int index) {
+            placed.remove(index);
+            done.set(index - chunk.first());
+            changed = true;
+        }
+
+        public void gone(int index) {
+            placed.remove(index);
+            changed = true;
+        }
+
+        public void place(int index, String host, long attempt) {
+            placed.put(index, new Placement(chunk.job, index, host, attempt, false, 0));
+            lastTry = Math.max(lastTry, attempt);
+            changed = true;
+        }
+
+        public void stop(int index) {
+            Placement p = placed.get(index);
+            placed.put(index, new Placement(p.job, p.index, p.host, p.attempt, true, p.since));
+            changed = true;
+        }
+
+        public ObjectNode encode() {
+            ObjectNode n = Codec.map().put("t", lastTry);
+            ArrayNode d = n.putArray("d");
+            for (int from = done.nextSetBit(0); from >= 0;) {
+                int to = done.nextClearBit(from);
+                d.add(from).add(to);
+                from = done.nextSetBit(to);
+            }
+            ArrayNode p = n.putArray("p");
+            for (Placement x : placed.values()) {
+                p.add(x.index - chunk.first()).add(x.host).add(x.attempt).add(x.stop ? 1 : 0);
+            }
+            return n;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quincelead/jobs/Job.java
@@ -0,0 +1,102 @@
+package io.quincelead.jobs;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quincelead.app.Constants;
+import io.quincelead.net.Codec;
+import io.quincelead.state.Keys;
+
+/** An unfinished job as the store has it. */
+public final class Job {
+    public final JobSpec spec;
+    /** The controller that places its tasks. */
+    public String controller;
+    /** Time of day in ms at which it was accepted. */
+    public long acceptedAt;
+    /** Time of day in ms at which its cancellation was recorded; 0: not cancelled. */
+    public long cancelledAt;
+    public final Chunk[] chunks;
+    private int done;
+    private int placed;
+
+    /** This process's own notes: failures in a row, and the loop time before which no task is to be started. */
+    public int failures;
+    public long notBefore;
+    /** Machines types on which a task of it has completed or run well; used to tell faulty machines from faulty jobs. */
+    public int successes;
+
+    Job(JobSpec spec) {
+        this.spec = spec;
+        this.chunks = new Chunk[(spec.members() + Constants.CHUNK_TASKS - 1) / Constants.CHUNK_TASKS];
+    }
+
+    public String key() {
+        return Keys.JOB + spec.id();
+    }
+
+    public boolean cancelled() {
+        return cancelledAt > 0;
+    }
+
+    public int doneCount() {
+        return done;
+    }
+
+    public int placedCount() {
+        return placed;
+    }
+
+    public int pendingCount() {
+        return spec.members() - done - placed;
+    }
+
+    public boolean complete() {
+        return !spec.service() && done == spec.members();
+    }
+
+    public Chunk chunk(int number) {
+        return chunks[number] == null ? Chunk.empty(this, number) : chunks[number];
+    }
+
+    void set(int number, Chunk next) {
+        Chunk old = chunks[number];
+        if (old != null) {
+            done -= old.done.cardinality();
+            placed -= old.placed.size();
+        }
+        chunks[number] = next;
+        if (next != null) {
+            done += next.done.cardinality();
+            placed += next.placed.size();
+        }
+    }
+
+    /** The job's record with the given controller and time of cancellation. */
+    public ObjectNode encode(String byController, long cancelled) {
+        ObjectNode n = Codec.map();
+        n.set("s", spec.encode());
+        n.put("c", byController).put("at", acceptedAt);
+        if (cancelled > 0) {
+            n.put("x", cancelled);
+        }
+        return n;
+    }
+
+    static ObjectNode encodeNew(JobSpec spec, String controller, long at) {
+        ObjectNode n = Codec.map();
+        n.set("s", spec.encode());
+        return n.put("c", controller).put("at", at);
+    }
+
+    void read(JsonNode n) {
+        controller = n.path("c").asText();
+        acceptedAt = n.path("at").asLong();
+        cancelledAt = n.path("x").asLong();
+    }
+
+    /** The state that users are told while the job is not finished. */
+    public ObjectNode status() {
+        String s = cancelled() ? "cancelled" : placed > 0 ? "running" : "pending";
+        return Codec.map().put("nameId", spec.id()).put("status", s).put("done", done).put("running", placed);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quincelead/jobs/JobTable.java
@@ -0,0 +1,148 @@
+package io.quincelead.jobs;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quincelead.app.Loop;
+import io.quincelead.state.Keys;
+import io.quincelead.state.Mirror;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** All unfinished jobs and where their tasks may be, as mirrored from the store. */
+public final class JobTable {
+    private static final Logger LOG = LoggerFactory.getLogger(JobTable.class);
+    private final Loop loop;
+    private final Map<String, Job> jobs = new LinkedHashMap<>();
+    private final Map<String, Map<String, Placement>> byHost = new HashMap<>();
+    private final Set<String> orphans = new LinkedHashSet<>();
+    private long openTasks;
+
+    public JobTable(Loop loop, Mirror mirror) {
+        this.loop = loop;
+        mirror.view(Keys.JOB, new Mirror.View() {
+            @Override public void put(String key, JsonNode value, long stamp) {
+                putJob(key, value);
+            }
+
+            @Override public void remove(String key) {
+                removeJob(key.substring(Keys.JOB.length()));
+            }
+        });
+        mirror.view(Keys.CHUNK, new Mirror.View() {
+            @Override public void put(String key, JsonNode value, long stamp) {
+                putChunk(key, value);
+            }
+
+            @Override public void remove(String key) {
+                putChunk(key, null);
+            }
+        });
+    }
+
+    public Job get(String id) {
+        return jobs.get(id);
+    }
+
+    public Collection<Job> all() {
+        return jobs.values();
+    }
+
+    public long openTasks() {
+        return openTasks;
+    }
+
+    /** Chunks left behind by jobs that are over. */
+    public Set<String> orphans() {
+        return orphans;
+    }
+
+    /** Where tasks may be on a machine, by task name. */
+    public Map<String, Placement> on(String host) {
+        return byHost.getOrDefault(host, Map.of());
+    }
+
+    public Set<String> hosts() {
+        return byHost.keySet();
+    }
+
+    private void putJob(String key, JsonNode value) {
+        String id = key.substring(Keys.JOB.length());
+        Job job = jobs.get(id);
+        if (job == null) {
+            try {
+                job = new Job(JobSpec.parse((ObjectNode) value.path("s")));
+            } catch (JobSpec.Malformed | ClassCastException e) {
+                LOG.error("the record {} can't be read ({}); the job is left alone", key, e.getMessage());
+                return;
+            }
+            jobs.put(id, job);
+            openTasks += job.spec.members();
+        }
+        job.read(value);
+    }
+
+    private void removeJob(String id) {
+        Job job = jobs.remove(id);
+        if (job == null) {
+            return;
+        }
+        openTasks -= job.spec.members();
+        for (Chunk c : job.chunks) {
+            if (c != null) {
+                orphans.add(c.key());
+                c.placed.values().forEach(this::unindex);
+            }
+        }
+    }
+
+    private void putChunk(String key, JsonNode value) {
+        String rest = key.substring(Keys.CHUNK.length());
+        int slash = rest.lastIndexOf('/');
+        Job job = slash < 0 ? null : jobs.get(rest.substring(0, slash));
+        if (job == null) {
+            if (value == null) {
+                orphans.remove(key);
+            } else {
+                orphans.add(key);
+            }
+            return;
+        }
+        int number;
+        try {
+            number = Integer.parseInt(rest.substring(slash + 1));
+        } catch (NumberFormatException e) {
+            number = -1;
+        }
+        if (number < 0 || number >= job.chunks.length) {
+            LOG.error("the record {} does not belong to its job; it is left alone", key);
+            return;
+        }
+        Chunk before = job.chunks[number];
+        Chunk next = value == null ? null : Chunk.decode(job, number, value, before, loop.now());
+        if (before != null) {
+            before.placed.values().forEach(this::unindex);
+        }
+        job.set(number, next);
+        if (next != null) {
+            for (Placement p : next.placed.values()) {
+                byHost.computeIfAbsent(p.host, h -> new LinkedHashMap<>()).put(p.name(), p);
+            }
+        }
+    }
+
+    private void unindex(Placement p) {
+        Map<String, Placement> on = byHost.get(p.host);
+        if (on != null) {
+            on.remove(p.name());
+            if (on.isEmpty()) {
+                byHost.remove(p.host);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quincelead/jobs/UserApi.java
@@ -0,0 +1,428 @@
+package io.quincelead.jobs;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import io.quincelead.app.Constants;
+import io.quincelead.app.Loop;
+import io.quincelead.app.Settings;
+import io.quincelead.cloud.Catalog;
+import io.quincelead.leader.Blocks;
+import io.quincelead.net.Codec;
+import io.quincelead.net.Request;
+import io.quincelead.net.Transport;
+import io.quincelead.state.Committer;
+import io.quincelead.state.Keys;
+import io.quincelead.state.Mirror;
+import io.quincelead.state.Session;
+import io.quincelead.state.StoreClient;
+import io.quincelead.state.Txn;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Answers users. Acceptance, cancellation and completion are committed before they are told. A poll is answered only
+ * after a read barrier has shown that what this controller knows of the job is what the store has now.
+ */
+public final class UserApi {
+    private static final Logger LOG = LoggerFactory.getLogger(UserApi.class);
+    private static final String RUNS = "/v2/runs";
+
+    private final Loop loop;
+    private final Settings settings;
+    private final Session session;
+    private final Mirror mirror;
+    private final StoreClient store;
+    private final Committer committer;
+    private final Blocks blocks;
+    private final JobTable jobs;
+    private final Catalog catalog;
+    private final Cache<String, ObjectNode> finals = Caffeine.newBuilder().maximumSize(Constants.FINAL_CACHE).executor(Runnable::run).build();
+    private final ArrayDeque<Poll> polls = new ArrayDeque<>();
+    private final Set<String> finishing = new HashSet<>();
+    private boolean barrierDue;
+    private int barriersOut;
+    private boolean sweeping;
+
+    private record Poll(String id, Request request, long deadline) { }
+
+    public UserApi(Loop loop, Settings settings, Session session, Mirror mirror, StoreClient store, Committer committer,
+            Blocks blocks, JobTable jobs, Catalog catalog) {
+        this.loop = loop;
+        this.settings = settings;
+        this.session = session;
+        this.mirror = mirror;
+        this.store = store;
+        this.committer = committer;
+        this.blocks = blocks;
+        this.jobs = jobs;
+        this.catalog = catalog;
+        mirror.onChange(this::finish);
+    }
+
+    /** Whether users should be sent here: the store has answered lately and all is read. */
+    public boolean ready() {
+        return mirror.synced() && session.valid();
+    }
+
+    public void handle(Request request) {
+        String path = request.path;
+        if (path.equals(RUNS)) {
+            if (allowed(request, "POST")) {
+                submit(request);
+            }
+            return;
+        }
+        if (!path.startsWith(RUNS + "/")) {
+            request.refuse(404, "no such path");
+            return;
+        }
+        String rest = path.substring(RUNS.length() + 1);
+        if (rest.endsWith("/cancel")) {
+            if (allowed(request, "POST")) {
+                cancel(rest.substring(0, rest.length() - "/cancel".length()), request);
+            }
+        } else if (rest.indexOf('/') >= 0) {
+            request.refuse(404, "no such path");
+        } else if (allowed(request, "GET")) {
+            poll(rest, request);
+        }
+    }
+
+    private static boolean allowed(Request request, String method) {
+        if (request.method.equals(method)) {
+            return true;
+        }
+        request.refuse(405, "only " + method + " is allowed here");
+        return false;
+    }
+
+    // ---- submissions
+
+    private void submit(Request request) {
+        JobSpec spec;
+        try {
+            spec = JobSpec.parse(Codec.CBOR.readMap(request.body));
+        } catch (JobSpec.Malformed e) {
+            request.refuse(400, e.getMessage());
+            return;
+        }
+        if (finals.getIfPresent(spec.id()) != null || jobs.get(spec.id()) != null) {
+            poll(spec.id(), request);
+            return;
+        }
+        if (!ready() || !catalog.known()) {
+            request.later(503, "not ready");
+            return;
+        }
+        String never = impossible(spec);
+        if (never != null) {
+            // A job that was accepted once is never refused, whatever the settings say now.
+            known(spec.id(), request, never);
+            return;
+        }
+        if (committer.full() || jobs.all().size() >= Constants.MAX_OPEN_JOBS || jobs.openTasks() + spec.members() > Constants.MAX_OPEN_TASKS) {
+            request.later(429, "too much to do");
+            return;
+        }
+        String key = Keys.JOB + spec.id();
+        Txn txn = new Txn().guard(key, 0).guard(Keys.FINAL + spec.id(), 0)
+                .put(key, Job.encodeNew(spec, settings.member(), loop.wall()));
+        committer.submit(txn, Constants.USER_PATIENCE_MS, outcome -> {
+            switch (outcome.result()) {
+                case DONE -> request.answer(201, Codec.map().put("nameId", spec.id()).put("status", "pending"));
+                case CONFLICT -> poll(spec.id(), request);
+                default -> request.later(503, "the state service does not answer");
+            }
+        });
+    }
+
+    private String impossible(JobSpec s) {
+        Settings.Team team = settings.teams().get(s.owner());
+        if (team == null) {
+            return "owner: unknown team";
+        }
+        if (!catalog.fitsSome(s)) {
+            return "no allowed machine type holds one task";
+        }
+        int atOnce = s.mode() == JobSpec.Mode.ARRAY ? 1 : s.members();
+        if (s.vcpus() * atOnce > team.cpusMax() + 1e-9 || s.cards() * atOnce > team.gpusMax() + 1e-9) {
+            return "more than the team's limit";
+        }
+        return null;
+    }
+
+    private void known(String id, Request request, String otherwise) {
+        store.get(Keys.JOB + id, (status, body) -> {
+            if (status == 200) {
+                poll(id, request);
+            } else if (status == 404) {
+                readFinal(id, request, () -> request.refuse(422, otherwise));
+            } else {
+                request.later(503, "the state service does not answer");
+            }
+        });
+    }
+
+    // ---- polls
+
+    private void poll(String id, Request request) {
+        ObjectNode end = finals.getIfPresent(id);
+        if (end != null) {
+            request.answer(200, end);
+            return;
+        }
+        if (!JobSpec.validId(id)) {
+            request.refuse(404, "no such job");
+            return;
+        }
+        if (!mirror.synced() || !session.joined()) {
+            request.later(503, "not ready");
+            return;
+        }
+        if (polls.size() >= Constants.MAX_WAITING_POLLS) {
+            request.later(429, "too many polls");
+            return;
+        }
+        polls.addLast(new Poll(id, request, loop.now() + Constants.USER_PATIENCE_MS));
+        wantBarrier(Constants.BARRIER_GAP_MS);
+    }
+
+    private void wantBarrier(long ms) {
+        if (!barrierDue) {
+            barrierDue = true;
+            loop.after(ms, this::barrier);
+        }
+    }
+
+    /** One comparison in the store for all waiting polls: each known stamp must still be the job's stamp. */
+    private void barrier() {
+        barrierDue = false;
+        long now = loop.now();
+        while (!polls.isEmpty() && polls.peekFirst().deadline < now) {
+            polls.pollFirst().request.later(503, "the state service does not answer");
+        }
+        if (polls.isEmpty()) {
+            return;
+        }
+        if (barriersOut >= 2) {
+            wantBarrier(Constants.BARRIER_GAP_MS);
+            return;
+        }
+        Txn compare = new Txn();
+        List<Poll> batch = new ArrayList<>();
+        while (!polls.isEmpty() && compare.fits(0, 2, store.txnOps())) {
+            Poll p = polls.pollFirst();
+            String key = Keys.JOB + p.id;
+            compare.guard(key, mirror.stamp(key));
+            if (mirror.stamp(key) == 0) {
+                compare.guard(Keys.FINAL + p.id, 0);
+            }
+            batch.add(p);
+        }
+        long wait = store.waitMs(compare);
+        if (wait > Constants.BARRIER_GAP_MS) {
+            batch.forEach(polls::addFirst);
+            wantBarrier(Math.min(wait, Constants.RETRY_MS));
+            return;
+        }
+        barriersOut++;
+        store.commit(compare, outcome -> {
+            barriersOut--;
+            for (Poll p : batch) {
+                settle(p, outcome);
+            }
+        });
+        if (!polls.isEmpty()) {
+            wantBarrier(1);
+        }
+    }
+
+    private void settle(Poll p, Txn.Outcome outcome) {
+        Job job = jobs.get(p.id);
+        switch (outcome.result()) {
+            case DONE -> {
+                if (job != null) {
+                    p.request.answer(200, job.status());
+                } else if (finals.getIfPresent(p.id) != null) {
+                    p.request.answer(200, finals.getIfPresent(p.id));
+                } else {
+                    p.request.refuse(404, "no such job");
+                }
+            }
+            case CONFLICT -> {
+                boolean jobFailed = outcome.failed().contains(Keys.JOB + p.id);
+                boolean finalFailed = outcome.failed().contains(Keys.FINAL + p.id);
+                if (!jobFailed && !finalFailed) {
+                    if (job != null) {
+                        p.request.answer(200, job.status());
+                    } else {
+                        p.request.refuse(404, "no such job");
+                    }
+                } else {
+                    readFresh(p);
+                }
+            }
+            default -> p.request.later(503, "the state service does not answer");
+        }
+    }
+
+    /** The mirror is behind on this job: its records are read themselves. Jobs move to their final key, never back. */
+    private void readFresh(Poll p) {
+        store.get(Keys.JOB + p.id, (status, body) -> {
+            if (status == 200) {
+                Job job = jobs.get(p.id);
+                ObjectNode answer = job != null ? job.status() : Codec.map().put("nameId", p.id).put("status", "pending").put("done", 0).put("running", 0);
+                if (body.path("value").path("x").asLong() > 0) {
+                    answer.put("status", "cancelled");
+                }
+                p.request.answer(200, answer);
+            } else if (status == 404) {
+                readFinal(p.id, p.request, () -> p.request.refuse(404, "no such job"));
+            } else {
+                p.request.later(503, "the state service does not answer");
+            }
+        });
+    }
+
+    private void readFinal(String id, Request request, Runnable otherwise) {
+        store.get(Keys.FINAL + id, (status, body) -> {
+            if (status == 200) {
+                ObjectNode answer = finalAnswer(id, body.path("value").path("s").asText(), body.path("value").path("n").asInt());
+                finals.put(id, answer);
+                request.answer(200, answer);
+            } else if (status == 404) {
+                otherwise.run();
+            } else {
+                request.later(503, "the state service does not answer");
+            }
+        });
+    }
+
+    private static ObjectNode finalAnswer(String id, String status, int done) {
+        return Codec.map().put("nameId", id).put("status", status).put("done", done).put("running", 0);
+    }
+
+    // ---- cancellations
+
+    private void cancel(String id, Request request) {
+        ObjectNode end = finals.getIfPresent(id);
+        if (end != null) {
+            request.answer(200, end);
+            return;
+        }
+        if (!JobSpec.validId(id)) {
+            request.refuse(404, "no such job");
+            return;
+        }
+        if (!ready()) {
+            request.later(503, "not ready");
+            return;
+        }
+        Job job = jobs.get(id);
+        if (job == null) {
+            store.get(Keys.JOB + id, (status, body) -> {
+                if (status == 200) {
+                    request.later(503, "this controller is catching up");
+                } else if (status == 404) {
+                    readFinal(id, request, () -> request.refuse(404, "no such job"));
+                } else {
+                    request.later(503, "the state service does not answer");
+                }
+            });
+            return;
+        }
+        if (job.cancelled()) {
+            request.answer(200, Codec.map().put("nameId", id).put("status", "cancelled"));
+            return;
+        }
+        if (committer.full()) {
+            request.later(429, "too much to do");
+            return;
+        }
+        commitCancel(job, request, loop.now() + Constants.USER_PATIENCE_MS);
+    }
+
+    private void commitCancel(Job job, Request request, long deadline) {
+        Txn txn = new Txn().guard(job.key(), mirror.stamp(job.key())).put(job.key(), job.encode(job.controller, loop.wall()));
+        committer.submit(txn, Math.max(0, deadline - loop.now()), outcome -> {
+            switch (outcome.result()) {
+                case DONE -> request.answer(200, Codec.map().put("nameId", job.spec.id()).put("status", "cancelled"));
+                case CONFLICT -> loop.after(Constants.BARRIER_GAP_MS, () -> {
+                    if (loop.now() > deadline) {
+                        request.later(503, "try again");
+                    } else {
+                        cancel(job.spec.id(), request);
+                    }
+                });
+                default -> request.later(503, "the state service does not answer");
+            }
+        });
+    }
+
+    // ---- ends
+
+    /** Moves jobs that are over to their final key. Only then is a user told "done". */
+    private void finish() {
+        if (!session.valid() || committer.full()) {
+            return;
+        }
+        for (Job job : jobs.all()) {
+            boolean over = job.complete() || job.cancelled() && job.placedCount() == 0;
+            boolean ours = job.controller.equals(settings.member()) || blocks.node(job.controller) == null && settings.member().equals(blocks.leader());
+            if (over && ours && finishing.add(job.spec.id())) {
+                end(job);
+            }
+        }
+        sweep();
+    }
+
+    private void end(Job job) {
+        String id = job.spec.id();
+        String status = job.cancelled() ? "cancelled" : "done";
+        Txn txn = new Txn().guard(job.key(), mirror.stamp(job.key())).remove(job.key())
+                .put(Keys.FINAL + id, Codec.map().put("s", status).put("n", job.doneCount()));
+        for (Chunk c : job.chunks) {
+            if (c != null && txn.fits(1, 1, store.txnOps())) {
+                txn.guard(c.key(), mirror.stamp(c.key())).remove(c.key());
+            }
+        }
+        ObjectNode answer = finalAnswer(id, status, job.doneCount());
+        committer.submit(txn, Constants.STORE_TIMEOUT_MS, outcome -> {
+            if (outcome.result() == Txn.Result.DONE) {
+                finals.put(id, answer);
+                finishing.remove(id);
+            } else {
+                LOG.debug("the end of {} was not recorded: {}", id, outcome.result());
+                loop.after(Constants.RETRY_MS, () -> {
+                    finishing.remove(id);
+                    finish();
+                });
+            }
+        });
+    }
+
+    /** Removes chunks that a large job left behind. */
+    private void sweep() {
+        if (sweeping || jobs.orphans().isEmpty() || !settings.member().equals(blocks.leader())) {
+            return;
+        }
+        Txn txn = new Txn();
+        for (String key : jobs.orphans()) {
+            if (!txn.fits(1, 0, store.txnOps())) {
+                break;
+            }
+            txn.remove(key);
+        }
+        sweeping = true;
+        committer.submit(txn, Constants.STORE_TIMEOUT_MS, outcome -> loop.after(Constants.RETRY_MS, () -> {
+            sweeping = false;
+            finish();
+        }));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quincelead/leader/Leader.java
@@ -0,0 +1,419 @@
+package io.quincelead.leader;
+
+import io.quincelead.app.Constants;
+import io.quincelead.app.Loop;
+import io.quincelead.app.Settings;
+import io.quincelead.cloud.Catalog;
+import io.quincelead.jobs.Job;
+import io.quincelead.jobs.JobTable;
+import io.quincelead.net.Codec;
+import io.quincelead.state.Keys;
+import io.quincelead.state.Mirror;
+import io.quincelead.state.Session;
+import io.quincelead.state.StoreClient;
+import io.quincelead.state.Txn;
+import io.quincelead.workers.Desk;
+import io.quincelead.workers.MachineTable;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Election, and what the leader does for all: grants machines to blocks under rising terms, splits the teams' limits
+ * into allowances, and gives the jobs of lost controllers to live ones. All of it is guarded by the leader's key and
+ * by the stamps of the blocks it changes.
+ */
+public final class Leader {
+    private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
+
+    /** States of the election; {@link #become} is the one function that changes them. */
+    public enum Phase { FOLLOWING, STANDING, LEADING }
+
+    private final Loop loop;
+    private final Settings settings;
+    private final Session session;
+    private final Mirror mirror;
+    private final StoreClient store;
+    private final Blocks blocks;
+    private final JobTable jobs;
+    private final MachineTable machines;
+    private final Catalog catalog;
+    private final Map<String, Desk.Stray> strays = new LinkedHashMap<>();
+    private final Map<String, Long> aliveSince = new HashMap<>();
+    private Phase phase = Phase.FOLLOWING;
+    private boolean busy;
+    private boolean again;
+
+    public Leader(Loop loop, Settings settings, Session session, Mirror mirror, StoreClient store, Blocks blocks, JobTable jobs,
+            MachineTable machines, Catalog catalog) {
+        this.loop = loop;
+        this.settings = settings;
+        this.session = session;
+        this.mirror = mirror;
+        this.store = store;
+        this.blocks = blocks;
+        this.jobs = jobs;
+        this.machines = machines;
+        this.catalog = catalog;
+        loop.every(Constants.LEADER_TICK_MS, this::tick);
+        mirror.onChange(this::look);
+    }
+
+    private void become(Phase next) {
+        if (phase != next) {
+            LOG.info("leadership {} -> {}", phase, next);
+            phase = next;
+        }
+    }
+
+    /** Whether this controller surely leads now. */
+    public boolean leading() {
+        look();
+        return phase == Phase.LEADING && session.valid();
+    }
+
+    private void look() {
+        Blocks.Lead lead = blocks.lead();
+        boolean mine = lead != null && lead.member().equals(settings.member()) && lead.incarnation() == session.incarnation();
+        if (mine) {
+            become(Phase.LEADING);
+        } else if (phase == Phase.LEADING) {
+            become(Phase.FOLLOWING);
+            strays.clear();
+        }
+    }
+
+    /** The guard that every change by the leader bears. */
+    public Txn txn() {
+        return new Txn().guard(Keys.LEAD, mirror.stamp(Keys.LEAD));
+    }
+
+    private void tick() {
+        if (!session.valid() || !mirror.synced() || busy) {
+            return;
+        }
+        if (blocks.lead() == null && blocks.node(settings.member()) != null) {
+            stand();
+        } else if (leading()) {
+            lead();
+        }
+    }
+
+    private void stand() {
+        become(Phase.STANDING);
+        long term = blocks.term() + 1;
+        Txn txn = new Txn().guard(Keys.LEAD, 0).guard(Keys.TERM, mirror.stamp(Keys.TERM))
+                .put(Keys.LEAD, Codec.map().put("m", settings.member()).put("i", session.incarnation()).put("t", term), session.grant())
+                .put(Keys.TERM, Codec.map().put("n", term));
+        commit(txn, () -> become(Phase.FOLLOWING));
+    }
+
+    private void commit(Txn txn, Runnable otherwise) {
+        busy = true;
+        store.commit(txn, outcome -> {
+            busy = false;
+            if (outcome.result() == Txn.Result.DONE) {
+                mirror.applied(txn, outcome.generation());
+                if (again) {
+                    again = false;
+                    loop.after(0, this::tick);
+                }
+            } else {
+                otherwise.run();
+            }
+        });
+    }
+
+    /** A machine that has come up, or whose owner can't be reached. */
+    public void stray(Desk.Stray s) {
+        if (leading() && strays.size() < Constants.MAX_OPEN_JOBS) {
+            strays.put(s.host(), s);
+            if (blocks.owner(s.host()) == null) {
+                if (busy) {
+                    again = true;
+                } else {
+                    loop.after(Constants.GRANT_GAP_MS, this::tick);
+                }
+            }
+        }
+    }
+
+    private void lead() {
+        for (Blocks.Node n : blocks.nodes()) {
+            aliveSince.putIfAbsent(n.member(), loop.now());
+        }
+        aliveSince.keySet().removeIf(m -> blocks.node(m) == null);
+        Txn txn = txn();
+        Map<String, Blocks.Block> next = new LinkedHashMap<>();
+        for (Blocks.Node n : blocks.nodes()) {
+            Blocks.Block b = blocks.of(n.member());
+            next.put(n.member(), b == null ? new Blocks.Block(n.member(), new LinkedHashMap<>(), new LinkedHashMap<>()) : b.copy());
+        }
+        if (next.isEmpty()) {
+            return;
+        }
+        List<String> changed = new ArrayList<>();
+        for (String m : next.keySet()) {
+            if (blocks.of(m) == null) {
+                changed.add(m);
+            }
+        }
+        boolean terms = grant(next, changed, txn) | balance(next, changed);
+        allowances(next, changed);
+        if (!changed.isEmpty()) {
+            if (terms) {
+                txn.guard(Keys.TERM, mirror.stamp(Keys.TERM)).put(Keys.TERM, Codec.map().put("n", blocks.term() + 1));
+            }
+            for (Blocks.Block b : blocks.all()) {
+                txn.guard(b.key(), mirror.stamp(b.key()));
+            }
+            for (String m : changed.stream().distinct().toList()) {
+                Blocks.Block b = next.get(m);
+                txn.guard(b.key(), mirror.stamp(b.key())).put(b.key(), b.encode(), blocks.node(m).grant());
+            }
+        } else {
+            reassign(txn);
+        }
+        if (!txn.isEmpty()) {
+            commit(txn, () -> { });
+        }
+    }
+
+    /** Gives machines without an owner, and those whose owner can't hear them, to live controllers under a new term. */
+    private boolean grant(Map<String, Blocks.Block> next, List<String> changed, Txn txn) {
+        long term = blocks.term() + 1;
+        boolean any = false;
+        for (MachineTable.Machine m : machines.all()) {
+            if (m.addr() != null && !m.returning() && blocks.owner(m.host()) == null) {
+                Desk.Stray s = strays.remove(m.host());
+                give(next, changed, m.host(), s == null ? null : s.at(), term);
+                any = true;
+            }
+        }
+        for (Desk.Stray s : new ArrayList<>(strays.values())) {
+            if (!txn.fits(1 + next.size() + 1, 4, store.txnOps())) {
+                again = true;
+                break;
+            }
+            strays.remove(s.host());
+            String owner = blocks.owner(s.host());
+            MachineTable.Machine m = machines.get(s.host());
+            if (owner != null) {
+                if (!owner.equals(s.at()) && next.containsKey(s.at())) {
+                    LOG.info("machine {} reports to {} instead of its owner {}; it moves", s.host(), s.at(), owner);
+                    if (next.containsKey(owner)) {
+                        next.get(owner).machines().remove(s.host());
+                        changed.add(owner);
+                    }
+                    next.get(s.at()).machines().put(s.host(), term);
+                    changed.add(s.at());
+                    any = true;
+                }
+                continue;
+            }
+            if (m != null && m.returning() || next.values().stream().anyMatch(b -> b.machines().containsKey(s.host()))) {
+                continue;
+            }
+            MachineTable.Machine up = m == null
+                    ? new MachineTable.Machine(s.host(), s.shape(), s.site(), s.spot(), s.addr(), loop.wall(), false) : m.up(s.addr());
+            txn.guard(up.key(), mirror.stamp(up.key())).put(up.key(), up.encode());
+            give(next, changed, s.host(), null, term);
+            any = true;
+        }
+        return any;
+    }
+
+    private void give(Map<String, Blocks.Block> next, List<String> changed, String host, String preferred, long term) {
+        Blocks.Block to = preferred != null && next.containsKey(preferred) ? next.get(preferred)
+                : next.values().stream().min(Comparator.comparingDouble(this::capacity)).orElseThrow();
+        to.machines().put(host, term);
+        changed.add(to.member());
+    }
+
+    private double capacity(Blocks.Block b) {
+        double sum = 0;
+        for (String h : b.machines().keySet()) {
+            MachineTable.Machine m = machines.get(h);
+            Catalog.Shape s = m == null ? null : catalog.get(m.shape());
+            sum += s == null ? 1 : s.vcpus();
+        }
+        return sum;
+    }
+
+    /** Moves a few machines to a controller that has been up for a while and holds much less than its share. */
+    private boolean balance(Map<String, Blocks.Block> next, List<String> changed) {
+        if (!changed.isEmpty() || next.size() < 2) {
+            return false;
+        }
+        Blocks.Block least = next.values().stream().min(Comparator.comparingDouble(this::capacity)).orElseThrow();
+        Blocks.Block most = next.values().stream().max(Comparator.comparingDouble(this::capacity)).orElseThrow();
+        if (loop.now() - aliveSince.getOrDefault(least.member(), loop.now()) < Constants.BALANCE_AFTER_MS || most.machines().size() < 2) {
+            return false;
+        }
+        double low = capacity(least);
+        double high = capacity(most);
+        int moved = 0;
+        for (String h : new ArrayList<>(most.machines().keySet())) {
+            MachineTable.Machine m = machines.get(h);
+            Catalog.Shape s = m == null ? null : catalog.get(m.shape());
+            double c = s == null ? 1 : s.vcpus();
+            if (moved >= Constants.BALANCE_MOVES || low > high * Constants.BALANCE_SHARE || low + c > high - c) {
+                break;
+            }
+            most.machines().remove(h);
+            least.machines().put(h, blocks.term() + 1);
+            low += c;
+            high -= c;
+            moved++;
+        }
+        if (moved > 0) {
+            changed.add(least.member());
+            changed.add(most.member());
+        }
+        return moved > 0;
+    }
+
+    // ---- allowances
+
+    /** What a controller's jobs of a team use and still want. */
+    private static final class Demand {
+        double useCpu;
+        double useGpu;
+        double wantCpu;
+        double wantGpu;
+    }
+
+    /**
+     * Splits each team's limit. A controller can't use more than the larger of its allowance and its use, and use is
+     * known exactly up to the mirror's generation; so only what is free under the allowances <em>on record</em> is
+     * given out, and what one write takes away can be given out only by a later one, when the mirror has caught up.
+     */
+    private void allowances(Map<String, Blocks.Block> next, List<String> changed) {
+        for (Blocks.Block b : blocks.all()) {
+            if (mirror.stamp(b.key()) > mirror.generation()) {
+                return;
+            }
+        }
+        for (Settings.Team team : settings.teams().values()) {
+            Map<String, Demand> demand = new LinkedHashMap<>();
+            next.keySet().forEach(m -> demand.put(m, new Demand()));
+            double deadCpu = 0;
+            double deadGpu = 0;
+            for (Job j : jobs.all()) {
+                if (!j.spec.owner().equals(team.name())) {
+                    continue;
+                }
+                double useCpu = j.placedCount() * j.spec.vcpus();
+                double useGpu = j.placedCount() * j.spec.cards();
+                Demand d = blocks.of(j.controller) == null ? null : demand.get(j.controller);
+                if (d == null) {
+                    deadCpu += useCpu;
+                    deadGpu += useGpu;
+                    continue;
+                }
+                d.useCpu += useCpu;
+                d.useGpu += useGpu;
+                if (!j.cancelled()) {
+                    d.wantCpu += j.pendingCount() * j.spec.vcpus();
+                    d.wantGpu += j.pendingCount() * j.spec.cards();
+                }
+            }
+            // A block that isn't on our list of live controllers may still be in use.
+            for (Blocks.Block b : blocks.all()) {
+                if (!next.containsKey(b.member())) {
+                    return;
+                }
+            }
+            double[] cpu = split(team.cpusMax(), deadCpu, next.keySet(), demand, true, team.name());
+            double[] gpu = split(team.gpusMax(), deadGpu, next.keySet(), demand, false, team.name());
+            int i = 0;
+            for (Map.Entry<String, Blocks.Block> e : next.entrySet()) {
+                Blocks.Amount to = new Blocks.Amount(cpu[i], gpu[i]);
+                i++;
+                Blocks.Amount from = e.getValue().allowance(team.name());
+                if (Math.abs(to.cpus() - from.cpus()) > 1e-6 || Math.abs(to.gpus() - from.gpus()) > 1e-6) {
+                    e.getValue().allowances().put(team.name(), to);
+                    changed.add(e.getKey());
+                }
+            }
+        }
+    }
+
+    private double[] split(double limit, double dead, java.util.Set<String> members, Map<String, Demand> demand, boolean cpus, String team) {
+        int n = members.size();
+        double[] now = new double[n];
+        double[] use = new double[n];
+        double[] want = new double[n];
+        double wantAll = 0;
+        double used = dead;
+        double committed = dead;
+        boolean unmet = false;
+        boolean fresh = false;
+        int i = 0;
+        for (String m : members) {
+            Demand d = demand.get(m);
+            Blocks.Amount a = blocks.of(m) == null ? Blocks.Amount.NONE : blocks.of(m).allowance(team);
+            fresh |= blocks.of(m) == null || !blocks.of(m).allowances().containsKey(team);
+            now[i] = cpus ? a.cpus() : a.gpus();
+            use[i] = cpus ? d.useCpu : d.useGpu;
+            want[i] = cpus ? d.wantCpu : d.wantGpu;
+            wantAll += want[i];
+            used += use[i];
+            committed += Math.max(now[i], use[i]);
+            unmet |= want[i] > 0 && now[i] - use[i] < want[i] - 1e-9;
+            i++;
+        }
+        double rest = Math.max(0, limit - used);
+        if (!unmet && !fresh) {
+            return now;
+        }
+        double[] target = new double[n];
+        for (i = 0; i < n; i++) {
+            double share = wantAll <= 0 ? rest / n : wantAll <= rest ? want[i] + (rest - wantAll) / n : rest * want[i] / wantAll;
+            target[i] = use[i] + share;
+        }
+        double free = Math.max(0, limit - committed);
+        double growth = 0;
+        for (i = 0; i < n; i++) {
+            growth += Math.max(0, target[i] - Math.max(now[i], use[i]));
+        }
+        double[] out = new double[n];
+        for (i = 0; i < n; i++) {
+            double held = Math.max(now[i], use[i]);
+            out[i] = target[i] <= held ? target[i] : held + (growth <= 0 ? 0 : (target[i] - held) * Math.min(1, free / growth));
+            if (Math.abs(out[i] - now[i]) < Constants.ALLOWANCE_STEP && now[i] > 0) {
+                out[i] = Math.min(now[i], Math.max(out[i], now[i]));
+            }
+        }
+        return out;
+    }
+
+    // ---- jobs of lost controllers
+
+    private void reassign(Txn txn) {
+        List<String> alive = blocks.all().stream().map(Blocks.Block::member).filter(m -> blocks.node(m) != null).toList();
+        if (alive.isEmpty()) {
+            return;
+        }
+        int turn = 0;
+        for (Job j : jobs.all()) {
+            if (blocks.node(j.controller) != null) {
+                continue;
+            }
+            if (!txn.fits(1, 1, store.txnOps())) {
+                again = true;
+                break;
+            }
+            // Only after the lost controller's block is gone: then nothing it placed can be unknown to us.
+            if (blocks.of(j.controller) == null) {
+                txn.guard(j.key(), mirror.stamp(j.key())).guard(Keys.BLOCK + j.controller, 0)
+                        .put(j.key(), j.encode(alive.get(turn++ % alive.size()), j.cancelledAt));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quincelead/net/Codec.java
@@ -0,0 +1,58 @@
+package io.quincelead.net;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/** CBOR for users, workers, cloud and state; JSON between controllers. */
+public enum Codec {
+    CBOR(new CBORMapper(), "application/cbor"),
+    JSON(new ObjectMapper(), "application/json");
+
+    private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
+    private final ObjectMapper mapper;
+    private final String contentType;
+
+    Codec(ObjectMapper mapper, String contentType) {
+        this.mapper = mapper;
+        this.contentType = contentType;
+    }
+
+    public String contentType() {
+        return contentType;
+    }
+
+    public byte[] write(JsonNode node) {
+        try {
+            return mapper.writeValueAsBytes(node);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** The map in a body, or null if the body is anything else: malformed input is never an exception. */
+    public ObjectNode readMap(byte[] body) {
+        if (body == null || body.length == 0) {
+            return null;
+        }
+        try (var parser = mapper.createParser(body)) {
+            JsonNode n = mapper.readTree(parser);
+            return n instanceof ObjectNode o && parser.nextToken() == null ? o : null;
+        } catch (IOException | RuntimeException e) {
+            return null;
+        }
+    }
+
+    public static ObjectNode map() {
+        return NODES.objectNode();
+    }
+
+    public static ArrayNode list() {
+        return NODES.arrayNode();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quincelead/peers/Peers.java
@@ -0,0 +1,101 @@
+package io.quincelead.peers;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quincelead.app.Constants;
+import io.quincelead.app.Loop;
+import io.quincelead.app.Settings;
+import io.quincelead.leader.Blocks;
+import io.quincelead.leader.Leader;
+import io.quincelead.net.Codec;
+import io.quincelead.net.Request;
+import io.quincelead.net.Transport;
+import io.quincelead.workers.Desk;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What controllers tell each other, in JSON: the leader hears of machines that report to the wrong place and of those
+ * that should get no work. All of it is advice; nothing that a rule depends on travels here.
+ */
+public final class Peers {
+    private final Loop loop;
+    private final Settings settings;
+    private final Blocks blocks;
+    private final Transport transport;
+    private final Leader leader;
+    private final Map<String, News> news = new HashMap<>();
+    private Desk desk;
+
+    private record News(long at, Set<String> unfit) { }
+
+    public Peers(Loop loop, Settings settings, Blocks blocks, Transport transport, Leader leader) {
+        this.loop = loop;
+        this.settings = settings;
+        this.blocks = blocks;
+        this.transport = transport;
+        this.leader = leader;
+        loop.every(Constants.PEER_TELL_MS, this::tell);
+    }
+
+    public void wire(Desk d) {
+        desk = d;
+    }
+
+    public void handle(Request request) {
+        ObjectNode body = Codec.JSON.readMap(request.body);
+        if (body == null || !body.path("from").isTextual()) {
+            request.answer(400, Codec.JSON, Codec.map().put("error", "not a message"), 0);
+            return;
+        }
+        switch (request.path) {
+            case "/peer/stray" -> {
+                leader.stray(new Desk.Stray(body.path("host").asText(), body.path("addr").asText(), body.path("shape").asText(),
+                        body.path("site").asText(), body.path("preemptible").asBoolean(), body.path("from").asText()));
+                request.answer(200, Codec.JSON, Codec.map(), 0);
+            }
+            case "/peer/news" -> {
+                Set<String> unfit = new HashSet<>();
+                for (JsonNode h : body.path("unfit")) {
+                    unfit.add(h.asText());
+                }
+                news.put(body.path("from").asText(), new News(loop.now(), unfit));
+                request.answer(200, Codec.JSON, Codec.map(), 0);
+            }
+            default -> request.answer(404, Codec.JSON, Codec.map().put("error", "no such message"), 0);
+        }
+    }
+
+    /** Whether the owner said of late that the machine may get work. */
+    public boolean fit(String owner, String host) {
+        News n = news.get(owner);
+        return n != null && loop.now() - n.at < Constants.PEER_NEWS_MS && !n.unfit.contains(host);
+    }
+
+    public void stray(Desk.Stray s) {
+        if (settings.member().equals(blocks.leader())) {
+            leader.stray(s);
+            return;
+        }
+        send("/peer/stray", Codec.map().put("from", settings.member()).put("host", s.host()).put("addr", s.addr())
+                .put("shape", s.shape()).put("site", s.site()).put("preemptible", s.spot()));
+    }
+
+    private void tell() {
+        if (blocks.mine() == null || settings.member().equals(blocks.leader())) {
+            return;
+        }
+        ObjectNode body = Codec.map().put("from", settings.member());
+        desk.unfit().forEach(body.putArray("unfit")::add);
+        send("/peer/news", body);
+    }
+
+    private void send(String path, ObjectNode body) {
+        Blocks.Node to = blocks.leader() == null ? null : blocks.node(blocks.leader());
+        if (to != null) {
+            transport.call(to.address(), "POST", path, Codec.JSON, Codec.JSON.write(body), Constants.NEAR_TIMEOUT_MS, (status, bytes) -> { });
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quincelead/state/StoreClient.java
@@ -0,0 +1,120 @@
+package io.quincelead.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quincelead.app.Constants;
+import io.quincelead.app.Loop;
+import io.quincelead.app.Settings;
+import io.quincelead.net.Codec;
+import io.quincelead.net.RateBudget;
+import io.quincelead.net.Transport;
+import java.util.HashSet;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The state service's protocol, within this controller's share of its limits. */
+public final class StoreClient {
+    private static final Logger LOG = LoggerFactory.getLogger(StoreClient.class);
+    private final Loop loop;
+    private final Transport transport;
+    private final String address;
+    private final int txnOps;
+    final RateBudget requests;
+    final RateBudget writes;
+
+    public StoreClient(Loop loop, Transport transport, Settings settings) {
+        this.loop = loop;
+        this.transport = transport;
+        this.address = settings.state();
+        this.txnOps = settings.store().txnOps();
+        this.requests = new RateBudget(loop, settings.store().rps() / settings.count() * 0.95, 0.9);
+        this.writes = new RateBudget(loop, settings.store().writeRps() / settings.count() * 0.95, 1.5);
+    }
+
+    /** An answer with its map; node is null where the body is none. */
+    @FunctionalInterface
+    public interface Answer {
+        void got(int status, ObjectNode body);
+    }
+
+    public int txnOps() {
+        return txnOps;
+    }
+
+    private void call(String method, String path, ObjectNode body, long timeout, Answer answer) {
+        requests.force(1);
+        transport.call(address, method, path, Codec.CBOR, body == null ? null : Codec.CBOR.write(body), timeout, (status, bytes) -> {
+            ObjectNode map = Codec.CBOR.readMap(bytes);
+            if (status == 429) {
+                requests.drain();
+            }
+            if (status == 200 && map == null && !method.equals("DELETE") && !path.endsWith("/touch")) {
+                LOG.info("the store's answer to {} {} can't be read; taken for none", method, path);
+                answer.got(Transport.NO_ANSWER, null);
+            } else {
+                answer.got(status, map);
+            }
+        });
+    }
+
+    public void get(String key, Answer answer) {
+        call("GET", "/store/" + key, null, Constants.STORE_TIMEOUT_MS, answer);
+    }
+
+    void list(String prefix, String after, Answer answer) {
+        String path = "/store?prefix=" + prefix + "&limit=" + Constants.LIST_PAGE + (after == null ? "" : "&after=" + after);
+        call("GET", path, null, 2 * Constants.STORE_TIMEOUT_MS, answer);
+    }
+
+    void watch(String prefix, long after, Answer answer) {
+        call("GET", "/watch?prefix=" + prefix + "&after=" + after + "&holdMs=" + Constants.WATCH_HOLD_MS, null,
+                Constants.WATCH_HOLD_MS + Constants.WATCH_SLACK_MS, answer);
+    }
+
+    void createHold(long lifeMs, Answer answer) {
+        call("POST", "/holds", Codec.map().put("lifeMs", lifeMs), Constants.STORE_TIMEOUT_MS, answer);
+    }
+
+    void touchHold(long grant, Answer answer) {
+        call("POST", "/holds/" + grant + "/touch", Codec.map(), Constants.STORE_TIMEOUT_MS, answer);
+    }
+
+    void endHold(long grant, Answer answer) {
+        call("DELETE", "/holds/" + grant, null, Constants.STORE_TIMEOUT_MS, answer);
+    }
+
+    /** ms until this controller may write that much; 0: now. */
+    public long waitMs(Txn txn) {
+        return Math.max(requests.waitMs(1), writes.waitMs(txn.writes()));
+    }
+
+    public void commit(Txn txn, Txn.Done done) {
+        writes.force(txn.writes());
+        call("POST", "/commit", txn.encode(), Constants.STORE_TIMEOUT_MS, (status, body) -> {
+            long generation = body == null ? 0 : body.path("generation").asLong();
+            switch (status) {
+                case 200 -> done.got(new Txn.Outcome(Txn.Result.DONE, generation, Set.of()));
+                case 409 -> {
+                    Set<String> failed = new HashSet<>();
+                    if (body != null) {
+                        for (JsonNode k : body.path("failed")) {
+                            failed.add(k.asText());
+                        }
+                    }
+                    done.got(new Txn.Outcome(Txn.Result.CONFLICT, generation, failed));
+                }
+                case 400, 429, 503 -> {
+                    if (status == 429) {
+                        writes.drain();
+                    }
+                    if (status == 400) {
+                        LOG.info("the store refused a transaction: {}", body);
+                    }
+                    done.got(new Txn.Outcome(Txn.Result.REFUSED, generation, Set.of()));
+                }
+                default -> done.got(new Txn.Outcome(Txn.Result.UNKNOWN, 0, Set.of()));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quincelead/workers/Desk.java
@@ -0,0 +1,622 @@
+package io.quincelead.workers;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quincelead.app.Constants;
+import io.quincelead.app.Loop;
+import io.quincelead.app.Settings;
+import io.quincelead.jobs.Job;
+import io.quincelead.jobs.JobTable;
+import io.quincelead.jobs.Placement;
+import io.quincelead.leader.Blocks;
+import io.quincelead.net.Codec;
+import io.quincelead.net.Request;
+import io.quincelead.net.Transport;
+import io.quincelead.state.Session;
+import io.quincelead.state.StoreClient;
+import io.quincelead.state.Mirror;
+import io.quincelead.state.Txn;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Speaks with the workers of this controller's block: takes their reports as evidence, answers with what the records
+ * say, and sends kills at once. It never decides where a task runs, and it never concludes anything from time alone.
+ */
+public final class Desk {
+    private static final Logger LOG = LoggerFactory.getLogger(Desk.class);
+
+    /** A worker that reports here and isn't ours. */
+    public record Stray(String host, String addr, String shape, String site, boolean spot, String at) { }
+
+    /** What the rest of the controller does for the desk. */
+    public interface Office {
+        /** A worker reports to this controller though it isn't of its block, or of any. */
+        void stray(Stray stray);
+
+        /** Something changed that the next round should see. */
+        void wake();
+
+        /** Whether a round is due or under way whose result a report's answer should wait for. */
+        boolean roundPending();
+    }
+
+    /** States of a machine of our block; {@link Own#become} is the one function that changes them. */
+    public enum Phase {
+        /** Granted; no message bearing our term has come from it. Nothing may be concluded or started. */
+        CLAIMING,
+        /** It has shown our term: its reports are evidence. */
+        FENCED,
+        /** Its return has been recorded or is being recorded. */
+        LEAVING
+    }
+
+    /** A machine of our block and what we know of it under the current term. */
+    public final class Own {
+        public final String host;
+        public final long term;
+        private Phase phase = Phase.CLAIMING;
+        String addr;
+        long tenure = -1;
+        long serial = -1;
+        long reportTenure = -1;
+        long reportSerial = -1;
+        long heardAt;
+        long claimedAt;
+        double warningS = -1;
+        long warnedAt;
+        int failuresInRow;
+        final Set<String> failedJobs = new HashSet<>();
+        long fullUntil;
+        Map<String, JsonNode> list = Map.of();
+        Request parked;
+        long parkedUntil;
+        boolean parkedIdle;
+
+        Own(String host, long term) {
+            this.host = host;
+            this.term = term;
+            this.heardAt = loop.now();
+        }
+
+        void become(Phase next) {
+            if (phase != next) {
+                LOG.debug("machine {} {} -> {}", host, phase, next);
+                phase = next;
+            }
+        }
+
+        /** Whether new tasks may go there. */
+        public boolean fit() {
+            return phase == Phase.FENCED && warningS < 0 && failuresInRow < Constants.SICK_FAILURES && loop.now() >= fullUntil
+                    && loop.now() - heardAt < silentMs / 2;
+        }
+
+        public boolean draining() {
+            return warningS >= 0;
+        }
+
+        public double warningLeftS() {
+            return warningS - (loop.now() - warnedAt) / 1000.0;
+        }
+
+        public boolean fenced() {
+            return phase == Phase.FENCED;
+        }
+    }
+
+    private final Loop loop;
+    private final Settings settings;
+    private final Session session;
+    private final Blocks blocks;
+    private final JobTable jobs;
+    private final MachineTable machines;
+    private final Mirror mirror;
+    private final StoreClient store;
+    private final Transport transport;
+    private final Office office;
+    private final long silentMs;
+    private final Map<String, Own> mine = new LinkedHashMap<>();
+    private final Map<String, Long> strays = new HashMap<>();
+
+    public Desk(Loop loop, Settings settings, Session session, Blocks blocks, JobTable jobs, MachineTable machines,
+            Mirror mirror, StoreClient store, Transport transport, Office office) {
+        this.loop = loop;
+        this.settings = settings;
+        this.session = session;
+        this.blocks = blocks;
+        this.jobs = jobs;
+        this.machines = machines;
+        this.mirror = mirror;
+        this.store = store;
+        this.transport = transport;
+        this.office = office;
+        this.silentMs = (long) (settings.workers().leaseS() * 1000 * (1 + Constants.DRIFT)) + Constants.SILENCE_SLACK_MS;
+        blocks.onChange(this::regrant);
+        loop.every(Constants.WORKER_TICK_MS, this::tick);
+    }
+
+    public Own own(String host) {
+        return mine.get(host);
+    }
+
+    public Iterable<Own> owns() {
+        return mine.values();
+    }
+
+    /** Takes over the machines that our block now names, each under its term; a new term starts from nothing. */
+    private void regrant() {
+        Blocks.Block block = blocks.mine();
+        Map<String, Long> terms = block == null ? Map.of() : block.machines();
+        if (block != null) {
+            mine.values().removeIf(o -> {
+                boolean lost = !terms.containsKey(o.host) || terms.get(o.host) != o.term;
+                if (lost) {
+                    release(o);
+                }
+                return lost;
+            });
+        }
+        // Without a block we keep answering under the old terms: until a higher one shows up, that keeps work alive.
+        for (Map.Entry<String, Long> e : terms.entrySet()) {
+            if (!mine.containsKey(e.getKey())) {
+                Own o = new Own(e.getKey(), e.getValue());
+                MachineTable.Machine m = machines.get(o.host);
+                o.addr = m == null ? null : m.addr();
+                for (Placement p : jobs.on(o.host).values()) {
+                    p.become(Placement.Phase.RECORDED);
+                }
+                mine.put(o.host, o);
+                loop.after(0, () -> claim(o));
+            }
+        }
+    }
+
+    private void release(Own o) {
+        if (o.parked != null) {
+            redirect(o.parked, o.host);
+            o.parked = null;
+        }
+    }
+
+    /** Shows the worker our term at once, so that nothing from before can run there, and learns what it holds. */
+    private void claim(Own o) {
+        if (mine.get(o.host) == o && o.phase == Phase.CLAIMING && o.addr != null && session.valid()) {
+            o.claimedAt = loop.now();
+            orders(o, o.tenure < 0 ? 1 : o.tenure, Codec.list());
+        }
+    }
+
+    // ---- reports
+
+    public void report(Request request) {
+        ObjectNode body = Codec.CBOR.readMap(request.body);
+        if (body == null || !body.path("host").isTextual() || !body.path("tenure").isIntegralNumber()
+                || !body.path("serial").isIntegralNumber() || !body.path("epoch").isIntegralNumber()
+                || !body.path("members").isArray() && body.hasNonNull("members")) {
+            request.refuse(400, "not a report");
+            return;
+        }
+        String host = body.path("host").asText();
+        Own o = mine.get(host);
+        if (o == null || blocks.mine() == null && blocks.owner(host) != null) {
+            strayReport(request, host, body);
+            return;
+        }
+        if (body.path("epoch").asLong() > o.term) {
+            // Somebody newer commands this worker; an answer of ours would be dropped and hold it here.
+            redirect(request, host);
+            return;
+        }
+        strays.remove(host);
+        o.addr = body.path("addr").asText(o.addr);
+        if (o.parked != null) {
+            flush(o);
+        }
+        boolean fresh = absorb(o, body, true);
+        o.parked = request;
+        long now = loop.now();
+        boolean roomy = fresh && o.fit() && session.valid();
+        o.parkedIdle = roomy;
+        o.parkedUntil = now + (fresh && office.roundPending() ? Constants.REPORT_PATIENCE_MS : 0);
+        if (roomy) {
+            o.parkedUntil = Math.max(o.parkedUntil, now + parkMs(o));
+        }
+        if (o.parkedUntil <= now || hasOrders(o)) {
+            flush(o);
+        } else {
+            loop.after(o.parkedUntil - now, () -> {
+                if (o.parked == request) {
+                    flush(o);
+                }
+            });
+        }
+    }
+
+    /** How long an answer may wait for a start: starts travel only in answers, so a parked one makes them instant. */
+    private long parkMs(Own o) {
+        double share = jobs.on(o.host).isEmpty() ? Constants.PARK_IDLE_SHARE : Constants.PARK_BUSY_SHARE;
+        return (long) Math.min(settings.workers().reportS() * 1000 * share, Constants.PARK_MAX_MS);
+    }
+
+    private void strayReport(Request request, String host, ObjectNode body) {
+        if (!mirror.synced() || !session.joined()) {
+            request.later(503, "not ready");
+            return;
+        }
+        long now = loop.now();
+        String owner = blocks.owner(host);
+        long since = strays.computeIfAbsent(host, h -> now);
+        if (owner == null || now - since > Constants.STRAY_MS) {
+            office.stray(new Stray(host, body.path("addr").asText(), body.path("shape").asText(), body.path("site").asText(),
+                    body.path("preemptible").asBoolean(), settings.member()));
+            if (owner == null && settings.member().equals(blocks.leader())) {
+                // The grant is a few ms away: the worker then hears at once where to go.
+                loop.after(Constants.REPORT_PATIENCE_MS, () -> redirect(request, host));
+                return;
+            }
+        }
+        redirect(request, host);
+    }
+
+    private void redirect(Request request, String host) {
+        String to = blocks.owner(host) != null ? blocks.owner(host) : blocks.leader();
+        ObjectNode body = Codec.map();
+        if (to != null && !to.equals(settings.member())) {
+            body.put("controller", to);
+        }
+        request.answer(421, body);
+    }
+
+    /** A stray that has stayed away this long is no stray any more. */
+    public void forgetStray(String host) {
+        strays.remove(host);
+    }
+
+    /**
+     * Takes a worker's list as evidence, if it is newer than all before and bears our term. A body of {@code /orders}
+     * may overtake the answer to a report, so it never proves that a start of ours did not arrive.
+     */
+    private boolean absorb(Own o, ObjectNode body, boolean isReport) {
+        long tenure = body.path("tenure").asLong();
+        long serial = body.path("serial").asLong();
+        if (tenure < o.tenure || tenure == o.tenure && serial <= o.serial) {
+            return false;
+        }
+        o.tenure = tenure;
+        o.serial = serial;
+        if (isReport) {
+            o.reportTenure = tenure;
+            o.reportSerial = serial;
+        }
+        o.heardAt = loop.now();
+        if (body.hasNonNull("warningS")) {
+            if (o.warningS < 0) {
+                LOG.info("machine {} will be taken back in {} s", o.host, body.path("warningS").asDouble());
+                office.wake();
+            }
+            o.warningS = body.path("warningS").asDouble();
+            o.warnedAt = loop.now();
+        }
+        if (body.path("epoch").asLong() != o.term) {
+            return true;
+        }
+        if (o.phase == Phase.CLAIMING) {
+            o.become(Phase.FENCED);
+            office.wake();
+        }
+        Map<String, JsonNode> list = new HashMap<>();
+        for (JsonNode t : body.path("members")) {
+            String key = t.path("member").asText();
+            JsonNode other = list.get(key);
+            if (other == null || other.path("status").asText().equals("ended")) {
+                list.put(key, t);
+            }
+            list.put(key + "#" + t.path("try").asLong(), t);
+        }
+        o.list = list;
+        for (Placement p : jobs.on(o.host).values()) {
+            judge(o, p, list.get(p.name() + "#" + p.attempt));
+        }
+        return true;
+    }
+
+    private void judge(Own o, Placement p, JsonNode entry) {
+        if (p.over()) {
+            return;
+        }
+        if (entry == null) {
+            boolean answered = p.phase() == Placement.Phase.SENT
+                    && (o.reportTenure > p.sentTenure || o.reportTenure == p.sentTenure && o.reportSerial > p.sentSerial);
+            if (p.phase() == Placement.Phase.SEEN) {
+                lost(o, p, "no longer on");
+            } else if (answered || p.phase() == Placement.Phase.RECORDED) {
+                // It never arrived there. The record stands, so its start may be sent (again), unless it is unwanted.
+                if (p.stop || p.job.cancelled()) {
+                    lost(o, p, "never reached");
+                }
+            }
+            return;
+        }
+        String status = entry.path("status").asText();
+        if (!status.equals("ended")) {
+            p.become(Placement.Phase.SEEN);
+            if (status.equals("running") && p.runningSince == 0) {
+                p.runningSince = loop.now();
+            }
+            p.reported = status;
+            return;
+        }
+        String reason = entry.path("exitReason").asText();
+        Job job = p.job;
+        switch (reason) {
+            case "done" -> {
+                p.become(Placement.Phase.DONE);
+                o.failuresInRow = 0;
+                o.failedJobs.clear();
+                job.failures = 0;
+                job.successes++;
+                office.wake();
+            }
+            case "error" -> {
+                failed(o, job);
+                lost(o, p, "failed on");
+            }
+            case "full" -> {
+                o.fullUntil = loop.now() + Constants.FULL_PAUSE_MS;
+                lost(o, p, "refused (full) by");
+            }
+            case "busy" -> {
+                // Another attempt of the task is there: only its end makes the task free to go elsewhere.
+                JsonNode any = o.list.get(p.name());
+                if (any != null && any.path("status").asText().equals("ended")) {
+                    lost(o, p, "refused (busy) by");
+                }
+            }
+            case "unknown" -> {
+                job.notBefore = loop.now() + Constants.JOB_BACKOFF_MS;
+                lost(o, p, "refused (unknown) by");
+            }
+            default -> lost(o, p, "stopped (" + reason + ") on");
+        }
+    }
+
+    private void lost(Own o, Placement p, String how) {
+        LOG.debug("task {} try {} {} {}", p.name(), p.attempt, how, o.host);
+        p.become(Placement.Phase.GONE);
+        office.wake();
+    }
+
+    /** Blames the machine if other jobs fail there too or the job does well elsewhere; else the job, which pauses. */
+    private void failed(Own o, Job job) {
+        o.failuresInRow++;
+        o.failedJobs.add(job.spec.id());
+        job.failures++;
+        if (job.successes == 0 && job.failures >= 2 && o.failedJobs.size() == 1) {
+            o.failuresInRow = Math.min(o.failuresInRow, Constants.SICK_FAILURES - 1);
+        }
+        if (job.failures >= 2) {
+            long pause = Constants.JOB_BACKOFF_MS << Math.min(job.failures - 2, 10);
+            job.notBefore = loop.now() + Math.min(pause, Constants.JOB_BACKOFF_MAX_MS);
+        }
+    }
+
+    // ---- answers
+
+    private boolean wanted(Placement p) {
+        return !p.stop && !p.job.cancelled();
+    }
+
+    private boolean startDue(Own o, Placement p) {
+        if (p.over() || !wanted(p) || o.phase != Phase.FENCED) {
+            return false;
+        }
+        return p.phase() == Placement.Phase.RECORDED || p.phase() == Placement.Phase.SENT
+                && (o.reportTenure > p.sentTenure || o.reportTenure == p.sentTenure && o.reportSerial > p.sentSerial);
+    }
+
+    private boolean hasOrders(Own o) {
+        if (o.phase != Phase.FENCED || !session.valid()) {
+            return true;
+        }
+        for (Placement p : jobs.on(o.host).values()) {
+            if (startDue(o, p)) {
+                return true;
+            }
+        }
+        return !stops(o).isEmpty();
+    }
+
+    /** Kills for what must not run and clears for ends that are on record. */
+    private ArrayNode stops(Own o) {
+        ArrayNode out = Codec.list();
+        Map<String, Placement> recorded = jobs.on(o.host);
+        for (Map.Entry<String, JsonNode> e : o.list.entrySet()) {
+            if (e.getKey().indexOf('#') < 0) {
+                continue;
+            }
+            JsonNode t = e.getValue();
+            String name = t.path("member").asText();
+            long attempt = t.path("try").asLong();
+            Placement p = recorded.get(name);
+            boolean onRecord = p != null && p.attempt == attempt;
+            String status = t.path("status").asText();
+            if (status.equals("ended")) {
+                if (!onRecord) {
+                    out.addObject().put("verb", "clear").put("member", name).put("try", attempt);
+                }
+            } else if (!onRecord) {
+                kill(out, name, attempt, 0);
+            } else if (!wanted(p) && !status.equals("saving")) {
+                kill(out, name, attempt, graceS(p));
+            } else if (p.job.cancelled()) {
+                kill(out, name, attempt, 0);
+            }
+        }
+        return out;
+    }
+
+    private static void kill(ArrayNode out, String name, long attempt, double graceS) {
+        out.addObject().put("verb", "kill").put("member", name).put("try", attempt).put("drainS", graceS);
+    }
+
+    private static double graceS(Placement p) {
+        return p.job.cancelled() || p.job.spec.snapshotEveryS() <= 0 ? 0 : Math.ceil(p.job.spec.snapshotS()) + 1;
+    }
+
+    private void flush(Own o) {
+        Request request = o.parked;
+        o.parked = null;
+        if (request == null) {
+            return;
+        }
+        ObjectNode body = Codec.map().put("epoch", o.term);
+        ArrayNode orders = body.putArray("orders");
+        if (o.phase == Phase.FENCED) {
+            if (session.joined()) {
+                orders.addAll(stops(o));
+            }
+            if (session.valid() && blocks.mine() != null) {
+                for (Placement p : jobs.on(o.host).values()) {
+                    if (startDue(o, p) && orders.size() < Constants.MAX_ORDERS) {
+                        orders.addObject().put("verb", "start").put("member", p.name()).put("try", p.attempt);
+                        p.become(Placement.Phase.SENT);
+                        p.sentTenure = o.reportTenure;
+                        p.sentSerial = o.reportSerial;
+                    }
+                }
+            }
+        }
+        request.answer(200, body);
+    }
+
+    /** Called when records changed or a round ended: answers what need not wait longer and sends kills at once. */
+    public void settle() {
+        for (Own o : mine.values()) {
+            if (o.parked != null && (hasOrders(o) || !o.parkedIdle && !office.roundPending())) {
+                flush(o);
+            }
+            sendKills(o);
+        }
+    }
+
+    private void sendKills(Own o) {
+        if (o.phase == Phase.CLAIMING || o.addr == null || !session.joined()) {
+            return;
+        }
+        long now = loop.now();
+        ArrayNode out = null;
+        for (Placement p : jobs.on(o.host).values()) {
+            if (!wanted(p) && p.phase() == Placement.Phase.SEEN && !p.reported.equals("saving")
+                    && (p.killedAt == 0 || now - p.killedAt > Constants.KILL_AGAIN_MS)) {
+                out = out == null ? Codec.list() : out;
+                if (out.size() < Constants.MAX_ORDERS) {
+                    kill(out, p.name(), p.attempt, graceS(p));
+                    p.killedAt = now;
+                }
+            }
+        }
+        if (out != null) {
+            orders(o, o.tenure, out);
+        }
+    }
+
+    private void orders(Own o, long tenure, ArrayNode list) {
+        ObjectNode body = Codec.map().put("epoch", o.term).put("tenure", tenure);
+        body.set("orders", list);
+        transport.call(o.addr, "POST", "/orders", Codec.CBOR, Codec.CBOR.write(body), Constants.NEAR_TIMEOUT_MS, (status, bytes) -> {
+            ObjectNode answer = Codec.CBOR.readMap(bytes);
+            if (mine.get(o.host) != o || answer == null || status != 200 && status != 409) {
+                return;
+            }
+            if (status == 409) {
+                // Nothing was executed; a newer session of the worker is claimed under its number.
+                if (answer.path("tenure").asLong() > tenure && o.phase == Phase.CLAIMING) {
+                    o.tenure = Math.max(o.tenure, answer.path("tenure").asLong());
+                    claim(o);
+                }
+                return;
+            }
+            absorb(o, answer, false);
+            settle();
+        });
+    }
+
+    // ---- health
+
+    private void tick() {
+        long now = loop.now();
+        strays.values().removeIf(since -> now - since > 20 * Constants.STRAY_MS);
+        if (!session.valid() || blocks.mine() == null) {
+            return;
+        }
+        for (Own o : new ArrayList<>(mine.values())) {
+            if (o.phase == Phase.CLAIMING && now - o.claimedAt > Constants.NEAR_TIMEOUT_MS) {
+                claim(o);
+            }
+            if (o.phase == Phase.LEAVING) {
+                continue;
+            }
+            boolean taken = o.draining() && o.warningLeftS() < -1;
+            long silence = now - o.heardAt;
+            if (silence > (taken ? Constants.SILENCE_SLACK_MS + (long) (settings.workers().reportS() * 1500) : silentMs)) {
+                giveUp(o, "silent");
+            } else if (o.failuresInRow >= Constants.SICK_FAILURES) {
+                giveUp(o, "fails what runs elsewhere");
+            } else if (overdueCancel(o)) {
+                giveUp(o, "doesn't let go of cancelled work");
+            }
+        }
+        settle();
+    }
+
+    private boolean overdueCancel(Own o) {
+        double limitMs = settings.workers().cancelS() * 1000 * Constants.CANCEL_RELEASE_SHARE;
+        for (Placement p : jobs.on(o.host).values()) {
+            if (p.job.cancelled() && loop.wall() - p.job.cancelledAt > limitMs && !p.over()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Records that the machine is to be returned and drops it from our block, in one change; the leader returns it. */
+    private void giveUp(Own o, String why) {
+        MachineTable.Machine m = machines.get(o.host);
+        if (m == null || m.returning()) {
+            return;
+        }
+        LOG.info("machine {} is given up: {}", o.host, why);
+        o.become(Phase.LEAVING);
+        Blocks.Block block = blocks.mine().copy();
+        block.machines().remove(o.host);
+        Txn txn = new Txn().guard(block.key(), mirror.stamp(block.key())).guard(m.key(), mirror.stamp(m.key()))
+                .put(m.key(), m.returned().encode()).put(block.key(), block.encode(), session.grant());
+        store.commit(txn, outcome -> {
+            if (outcome.result() == Txn.Result.DONE) {
+                mirror.applied(txn, outcome.generation());
+            } else if (mine.get(o.host) == o) {
+                o.become(Phase.FENCED);
+            }
+        });
+    }
+
+    /** Machines of ours that should get no new task, for the leader. */
+    public List<String> unfit() {
+        List<String> out = new ArrayList<>();
+        for (Own o : mine.values()) {
+            if (!o.fit()) {
+                out.add(o.host);
+            }
+        }
+        return out;
+    }
+}
