--- a/src/main/java/io/quincelead/app/Main.java
+++ b/src/main/java/io/quincelead/app/Main.java
@@ -87,7 +87,7 @@
     }
 
     /** Starts a controller on real sockets. */
-    static XnioWorker start(Settings settings, OperatorSettings operator) throws Exception {
+    static void start(Settings settings, OperatorSettings operator) throws Exception {
         Logger log = LoggerFactory.getLogger(Main.class);
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
                 .set(Options.WORKER_IO_THREADS, 1)
@@ -113,7 +113,6 @@
             }, "starter");
             starter.start();
         });
-        return worker;
     }
 
     /** A free port on loopback, for the rehearsal. */
--- a/src/main/java/io/quincelead/app/Rehearsal.java
+++ b/src/main/java/io/quincelead/app/Rehearsal.java
@@ -60,7 +60,7 @@
         Settings settings = Settings.read(new TomlMapper().readTree(toml), "rehearsal");
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         new HttpServer(worker, "127.0.0.1:" + outside, 10, Rehearsal::stand).start();
-        XnioWorker served = Main.start(settings, OperatorSettings.DEFAULTS);
+        Main.start(settings, OperatorSettings.DEFAULTS);
         HttpClient client = new HttpClient(new XnioLoop(worker.getIoThread()), worker.getIoThread());
         byte[] job = Codec.CBOR.write(Codec.map().put("nameId", "wk-1").put("vcpus", 1.5));
         Thread.sleep(1500);
@@ -73,8 +73,6 @@
         });
         done.await(5, TimeUnit.SECONDS);
         Thread.sleep(500);
-        served.shutdownNow();
-        worker.shutdownNow();
     }
 
     /** A store with nothing in it that grants holds, so the start goes as far as a real one. */
--- /dev/null
+++ b/src/test/java/io/quincelead/world/Net.java
@@ -0,0 +1,128 @@
+package io.quincelead.world;
+
+import io.quincelead.net.Codec;
+import io.quincelead.net.Request;
+import io.quincelead.net.Transport;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** The network between hosts: delays messages, loses answers, and cuts pairs of hosts, holding packets or not. */
+public final class Net {
+    /** A host answers through a callback, or never. */
+    @FunctionalInterface
+    public interface Host {
+        void handle(Request request);
+    }
+
+    private final Sim sim;
+    private final Map<String, Host> hosts = new HashMap<>();
+    private final Set<String> cuts = new HashSet<>();
+    private final Set<String> held = new HashSet<>();
+    private final Map<String, List<Runnable>> parked = new HashMap<>();
+    /** Share of answers that get lost after the request was executed. */
+    public double lossy;
+
+    public Net(Sim sim) {
+        this.sim = sim;
+    }
+
+    public void host(String address, Host host) {
+        if (host == null) {
+            hosts.remove(address);
+        } else {
+            hosts.put(address, host);
+        }
+    }
+
+    private static String pair(String a, String b) {
+        return a.compareTo(b) < 0 ? a + "|" + b : b + "|" + a;
+    }
+
+    private static String ip(String address) {
+        return address.substring(0, address.indexOf(':'));
+    }
+
+    /** Cuts two hosts; with {@code hold}, what was sent arrives late, even if the sender has given up. */
+    public void cut(String ipA, String ipB, boolean hold) {
+        cuts.add(pair(ipA, ipB));
+        if (hold) {
+            held.add(pair(ipA, ipB));
+        }
+    }
+
+    public void mend(String ipA, String ipB) {
+        String p = pair(ipA, ipB);
+        cuts.remove(p);
+        held.remove(p);
+        List<Runnable> late = parked.remove(p);
+        if (late != null) {
+            late.forEach(r -> sim.after(sim.random.nextInt(1, 30), r));
+        }
+    }
+
+    /** A packet: now, late or never. */
+    private void packet(String from, String to, Runnable arrive) {
+        String p = pair(ip(from), ip(to));
+        if (!cuts.contains(p)) {
+            sim.after(sim.random.nextInt(1, 6), arrive);
+        } else if (held.contains(p)) {
+            parked.computeIfAbsent(p, k -> new ArrayList<>()).add(arrive);
+        }
+    }
+
+    /** The answer as the caller sees it: status 0 when none came in time. */
+    @FunctionalInterface
+    public interface Answer {
+        void got(int status, byte[] body, int retryAfterS);
+    }
+
+    public void call(String from, String to, String method, String path, byte[] body, long timeoutMs, Answer answer) {
+        boolean[] over = {false};
+        sim.after(timeoutMs, () -> {
+            if (!over[0]) {
+                over[0] = true;
+                answer.got(0, null, 0);
+            }
+        });
+        packet(from, to, () -> {
+            Host host = hosts.get(to);
+            if (host == null) {
+                return;
+            }
+            Map<String, String> query = new HashMap<>();
+            int q = path.indexOf('?');
+            if (q >= 0) {
+                for (String kv : path.substring(q + 1).split("&")) {
+                    query.put(kv.substring(0, kv.indexOf('=')), kv.substring(kv.indexOf('=') + 1));
+                }
+            }
+            host.handle(new Request(method, q < 0 ? path : path.substring(0, q), query, body == null ? new byte[0] : body) {
+                @Override protected void send(int status, Codec codec, byte[] out, int retryAfterS) {
+                    if (sim.random.nextDouble() < lossy) {
+                        return;
+                    }
+                    packet(to, from, () -> {
+                        if (!over[0]) {
+                            over[0] = true;
+                            answer.got(status, out, retryAfterS);
+                        }
+                    });
+                }
+            });
+        });
+    }
+
+    /** The transport of one process. */
+    public Transport transport(String ip, Sim.Process process) {
+        return (address, method, path, codec, body, timeoutMs, reply) ->
+                call(ip + ":0", address, method, path, body, timeoutMs, (status, bytes, retry) -> {
+                    if (!process.dead()) {
+                        reply.got(status, bytes);
+                    }
+                });
+    }
+}
