--- /dev/null
+++ b/src/test/java/io/quincelead/world/DaysTest.java
@@ -0,0 +1,201 @@
+package io.quincelead.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.quincelead.jobs.JobSpec;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Days of real controllers in the simulated world. Every rule is checked after every event. */
+class DaysTest {
+    /** Submits jobs over the first part of the day, cancels some, and asks for jobs that nobody has. */
+    private static void users(World w, int jobs, long everyMs) {
+        for (int i = 1; i <= jobs; i++) {
+            JobSpec s = Jobs.any(i, w.sim.random);
+            long at = 3_000 + w.sim.random.nextLong(jobs * everyMs);
+            w.sim.after(at, () -> w.submit(s));
+            if (s.service() || w.sim.random.nextInt(6) == 0) {
+                w.sim.after(at + (s.service() ? 40_000 : w.sim.random.nextLong(30_000)), () -> w.cancel(s.id()));
+            }
+            w.sim.after(at + 500, () -> w.query("wk-9" + s.id().substring(3)));
+        }
+    }
+
+    private static void assertKept(World w) {
+        assertEquals(Set.of(), w.broken());
+    }
+
+    private static void assertAllDone(World w, int jobs) {
+        assertKept(w);
+        assertEquals(jobs, w.accepted());
+        assertEquals(List.of(), w.unfinished());
+    }
+
+    @Test void aQuietDayFinishesEverything() {
+        World w = new World(1);
+        w.start();
+        users(w, 40, 2_000);
+        w.sim.run(400_000);
+        assertAllDone(w, 40);
+        assertTrue(w.store.largestValue < 8 * 1024);
+        assertTrue(w.cloud.machines.size() <= 4, "idle machines are returned, left: " + w.cloud.machines.size());
+    }
+
+    /** Everything at once, at random: crashes, cuts that hold packets, outages, lost answers, hung, dead and sick machines. */
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22})
+    void aRoughDayKeepsTheRulesAndRecovers(long seed) {
+        World w = new World(seed);
+        w.net.lossy = 0.003;
+        w.cloud.dud = 0.05;
+        w.start();
+        users(w, 40, 3_000);
+        for (int i = 0; i < 14; i++) {
+            w.sim.after(8_000 + w.sim.random.nextLong(150_000), () -> trouble(w));
+        }
+        w.sim.after(200_000, () -> w.net.lossy = 0);
+        w.sim.run(600_000);
+        assertAllDone(w, 40);
+    }
+
+    private static void trouble(World w) {
+        int n = w.controllers.size();
+        long span = 2_000 + w.sim.random.nextLong(25_000);
+        switch (w.sim.random.nextInt(9)) {
+            case 0 -> crash(w, w.sim.random.nextInt(n), 2_000 + w.sim.random.nextLong(6_000));
+            case 1 -> {
+                for (int i = 0; i < n; i++) {
+                    crash(w, i, 3_000);
+                }
+            }
+            case 2 -> {
+                w.store.outage(true);
+                w.sim.after(span, () -> w.store.outage(false));
+            }
+            case 3 -> cut(w, w.controllers.get(w.sim.random.nextInt(n)).ip, List.of("10.2.0.1"), span);
+            case 4 -> {
+                String ip = w.controllers.get(w.sim.random.nextInt(n)).ip;
+                List<String> all = new ArrayList<>(List.of("10.2.0.1", "10.2.0.2", "10.3.0.1"));
+                w.cloud.machines.values().forEach(m -> all.add(m.addr.substring(0, m.addr.indexOf(':'))));
+                w.controllers.forEach(c -> all.add(c.ip));
+                all.remove(ip);
+                cut(w, ip, all, span);
+            }
+            case 5 -> {
+                String ip = w.controllers.get(w.sim.random.nextInt(n)).ip;
+                cut(w, ip, w.cloud.machines.values().stream().map(m -> m.addr.substring(0, m.addr.indexOf(':'))).toList(), span);
+            }
+            case 6 -> machine(w, m -> {
+                m.hang(true);
+                w.sim.after(span, () -> m.hang(false));
+            });
+            case 7 -> machine(w, Worker::die);
+            default -> machine(w, m -> m.sick = true);
+        }
+    }
+
+    private static void crash(World w, int i, long backMs) {
+        if (w.controllers.get(i).alive()) {
+            w.controllers.get(i).kill();
+            w.sim.after(backMs, w.controllers.get(i)::start);
+        }
+    }
+
+    private static void cut(World w, String ip, List<String> others, long span) {
+        boolean hold = w.sim.random.nextBoolean();
+        others.forEach(o -> w.net.cut(ip, o, hold));
+        w.sim.after(span, () -> others.forEach(o -> w.net.mend(ip, o)));
+    }
+
+    private static void machine(World w, java.util.function.Consumer<Worker> what) {
+        List<Worker> up = w.cloud.machines.values().stream().filter(m -> m.up && !m.dead).toList();
+        if (!up.isEmpty()) {
+            what.accept(up.get(w.sim.random.nextInt(up.size())));
+        }
+    }
+
+    @Test void aDeadMachinesTasksRunElsewhereOnlyAfterItsRelease() {
+        World w = new World(3);
+        w.start();
+        w.sim.after(3_000, () -> w.submit(Jobs.array(1, "red", JobSpec.Urgency.NORMAL, 12, 2, 30)));
+        w.sim.after(25_000, () -> machine(w, Worker::die));
+        w.sim.run(200_000);
+        assertAllDone(w, 1);
+    }
+
+    @Test void aRevivedMachineNeverRunsWhatWasStartedElsewhere() {
+        World w = new World(4);
+        w.start();
+        w.sim.after(3_000, () -> w.submit(Jobs.array(1, "red", JobSpec.Urgency.NORMAL, 12, 2, 40)));
+        w.sim.after(20_000, () -> machine(w, m -> {
+            m.hang(true);
+            w.sim.after(9_000, () -> m.hang(false));
+        }));
+        w.sim.run(250_000);
+        assertAllDone(w, 1);
+    }
+
+    @Test void aCancelledJobIsGoneInTimeThoughItsMachineHangs() {
+        World w = new World(5);
+        w.start();
+        w.sim.after(3_000, () -> w.submit(Jobs.array(1, "red", JobSpec.Urgency.NORMAL, 8, 2, 300)));
+        w.sim.after(25_000, () -> machine(w, m -> m.hang(true)));
+        w.sim.after(26_000, () -> w.cancel("wk-000001"));
+        w.sim.run(200_000);
+        assertKept(w);
+        assertTrue(w.told("wk-000001", "cancelled"));
+    }
+
+    @Test void urgentWorkDisplacesLessUrgentWork() {
+        World w = new World(6, List.of(new Cloud.Shape("small", 8, 0, 32, 0.4, 0.15, 5, List.of("a"), 3)));
+        w.start();
+        w.sim.after(3_000, () -> w.submit(Jobs.array(1, "red", JobSpec.Urgency.BEST_EFFORT, 12, 2, 300)));
+        w.sim.after(40_000, () -> w.submit(Jobs.array(2, "blue", JobSpec.Urgency.HIGH, 6, 2, 10)));
+        w.sim.run(90_000);
+        assertTrue(w.told("wk-000002", "done"));
+        w.sim.run(1_500_000);
+        assertAllDone(w, 2);
+    }
+
+    @Test void aTeamAtItsLimitStaysThereWhileControllersFail() {
+        World w = new World(7);
+        w.start();
+        for (int i = 1; i <= 12; i++) {
+            JobSpec s = Jobs.array(i, "blue", JobSpec.Urgency.NORMAL, 8, 2, 12);
+            w.sim.after(3_000 + i * 700L, () -> w.submit(s));
+        }
+        for (int i = 0; i < 6; i++) {
+            int c = i % 3;
+            w.sim.after(15_000 + i * 12_000L, () -> crash(w, c, 3_000));
+        }
+        w.sim.run(500_000);
+        assertAllDone(w, 12);
+    }
+
+    @Test void aLargeJobIsSplitOverManyRecords() {
+        World w = new World(8);
+        w.start();
+        w.sim.after(3_000, () -> w.submit(Jobs.array(1, "red", JobSpec.Urgency.NORMAL, 1_500, 1, 2)));
+        w.sim.run(900_000);
+        assertAllDone(w, 1);
+        w.sim.run(920_000);
+        for (String key : w.store.keys()) {
+            assertTrue(!key.startsWith("a/t/") && !key.startsWith("a/j/"), "left behind: " + key);
+        }
+    }
+
+    @Test void aJobThatFailsEverywhereDoesNotCostTheFleet() {
+        World w = new World(9);
+        w.start();
+        w.sim.after(3_000, () -> w.submit(Jobs.array(1, "red", JobSpec.Urgency.NORMAL, 4, 2, 10)));
+        w.sim.after(3_000, () -> w.submit(Jobs.array(2, "blue", JobSpec.Urgency.NORMAL, 30, 2, 10)));
+        w.sim.after(12_000, () -> machine(w, m -> m.sick = true));
+        w.sim.run(400_000);
+        assertAllDone(w, 2);
+    }
+}
--- /dev/null
+++ b/src/test/java/io/quincelead/world/World.java
@@ -0,0 +1,329 @@
+package io.quincelead.world;
+
+import io.quincelead.app.Controller;
+import io.quincelead.app.OperatorSettings;
+import io.quincelead.app.Settings;
+import io.quincelead.jobs.JobSpec;
+import io.quincelead.net.Codec;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Real controllers among stand-ins, in simulated time, with every rule of the protocol checked after each event. */
+public final class World {
+    public static final String STORE = "10.2.0.1:2379";
+    public static final String CLOUD = "10.2.0.2:8443";
+    public static final String USERS = "10.3.0.1:0";
+
+    /** One controller's place; the process on it may be killed and started again. */
+    public final class Member {
+        public final String name;
+        public final String ip;
+        final String listen;
+        final String cluster;
+        private Sim.Process process;
+
+        Member(int i) {
+            name = "worker-" + i;
+            ip = "10.0.0." + (i + 1);
+            listen = ip + ":8080";
+            cluster = ip + ":8081";
+        }
+
+        public void start() {
+            process = sim.process();
+            Map<String, String> peers = new LinkedHashMap<>();
+            controllers.forEach(m -> peers.put(m.name, m.cluster));
+            Settings settings = new Settings(name, "a", listen, cluster, peers, CLOUD, STORE, controllers.size(), 25, teams, objectives,
+                    new Settings.Workers(reportMs / 1000.0, leaseMs / 1000.0, 45, 6, cancelS), new Settings.State(400, 200, 8, 12),
+                    new Settings.Cloud(4, 4), new Settings.Limits(1, 256, 500));
+            Sim.Process mine = process;
+            Controller c = new Controller(mine, net.transport(ip, mine), settings, OperatorSettings.DEFAULTS);
+            net.host(listen, c::handle);
+            net.host(cluster, c::handlePeer);
+        }
+
+        public void kill() {
+            process.kill();
+            net.host(listen, null);
+            net.host(cluster, null);
+        }
+
+        public boolean alive() {
+            return !process.dead();
+        }
+    }
+
+    public final Sim sim;
+    public final Net net;
+    public final Store store;
+    public final Cloud cloud;
+    public final List<Member> controllers = new ArrayList<>();
+    public final Map<String, Settings.Team> teams = new LinkedHashMap<>();
+    public final List<Settings.Objective> objectives = new ArrayList<>();
+    public final long reportMs = 1000;
+    public final long leaseMs = 10_000;
+    public final double cancelS = 40;
+    final Map<String, JobSpec> specs = new HashMap<>();
+    final Set<String> results = new HashSet<>();
+    private final Set<String> told = new HashSet<>();
+    private final Map<String, String> finalTold = new HashMap<>();
+    private final Map<String, Long> cancelTold = new HashMap<>();
+    private final Set<String> cancelAsked = new HashSet<>();
+    private final Set<String> broken = new HashSet<>();
+    public final Map<String, Integer> starts = new HashMap<>();
+
+    public World(long seed) {
+        this(seed, List.of(new Cloud.Shape("small", 8, 0, 32, 0.4, 0.15, 5, List.of("a", "b"), 8),
+                new Cloud.Shape("big", 16, 4, 64, 1.0, 0.4, 8, List.of("a", "b"), 4)));
+    }
+
+    public World(long seed, List<Cloud.Shape> shapes) {
+        sim = new Sim(seed);
+        net = new Net(sim);
+        store = new Store(sim, 12);
+        cloud = new Cloud(this, shapes);
+        net.host(STORE, store::handle);
+        net.host(CLOUD, cloud::handle);
+        teams.put("red", new Settings.Team("red", 16, 40, 2, 4));
+        teams.put("blue", new Settings.Team("blue", 16, 24, 2, 8));
+        objectives.add(new Settings.Objective("finished", "slow", 200, 0.9, 1));
+        for (int i = 0; i < 3; i++) {
+            controllers.add(new Member(i));
+        }
+        sim.observe(this::checkMachines);
+    }
+
+    public void start() {
+        controllers.forEach(Member::start);
+    }
+
+    int index(String member) {
+        for (int i = 0; i < controllers.size(); i++) {
+            if (controllers.get(i).name.equals(member)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    JobSpec spec(String task) {
+        return specs.get(task.substring(0, task.indexOf('/')));
+    }
+
+    public Set<String> broken() {
+        return broken;
+    }
+
+    void breach(String rule, String detail) {
+        broken.add(rule + ": " + detail);
+    }
+
+    // ---- rules about machines
+
+    /** Called at the moment a task has its image and begins. */
+    void began(Worker w, Worker.Task t, JobSpec s) {
+        starts.merge(s.id(), 1, Integer::sum);
+        int inZone = 0;
+        boolean otherZone = false;
+        for (Worker o : cloud.machines.values()) {
+            for (Worker.Task x : o.tasks.values()) {
+                if (!x.on() || x == t) {
+                    continue;
+                }
+                if (x.name.equals(t.name)) {
+                    breach("ran_twice", t.name + " on " + o.host + " and " + w.host);
+                } else if (spec(x.name) == s) {
+                    otherZone |= !o.site.equals(w.site);
+                    inZone += o.site.equals(w.site) ? 1 : 0;
+                }
+            }
+        }
+        boolean wrong = s.shapes() != null && !s.shapes().contains(w.shape.label()) || s.site() != null && !s.site().equals(w.site)
+                || w.spot && !s.preemptible() || s.oneZone() && otherZone || s.scatter() && inZone + 1 > (s.members() + 1) / 2;
+        if (wrong) {
+            breach("wrong_place", t.name + " on " + w.host);
+        }
+        Long at = cancelTold.get(s.id());
+        if (at != null && sim.now() - at > cancelS * 1000) {
+            breach("ran_cancelled", t.name + " starts");
+        }
+    }
+
+    /** Called after each event. */
+    private void checkMachines() {
+        Map<String, double[]> use = new HashMap<>();
+        for (Worker w : cloud.machines.values()) {
+            for (Worker.Task t : w.tasks.values()) {
+                if (!t.on()) {
+                    continue;
+                }
+                JobSpec s = spec(t.name);
+                double[] u = use.computeIfAbsent(s.owner(), k -> new double[2]);
+                u[0] += s.vcpus();
+                u[1] += s.cards();
+                Long at = cancelTold.get(s.id());
+                if (at != null && sim.now() - at > cancelS * 1000) {
+                    breach("ran_cancelled", t.name + " on " + w.host);
+                }
+            }
+        }
+        use.forEach((team, u) -> {
+            if (u[0] > teams.get(team).cpusMax() + 1e-6 || u[1] > teams.get(team).gpusMax() + 1e-6) {
+                breach("quota", team);
+            }
+        });
+    }
+
+    void completed(Worker.Task t, JobSpec s) {
+        results.add(t.name);
+        if (s.gang()) {
+            for (int i = 0; i < s.members(); i++) {
+                results.add(s.id() + "/" + i);
+            }
+            for (Worker w : cloud.machines.values()) {
+                for (Worker.Task x : new ArrayList<>(w.tasks.values())) {
+                    if (x != t && spec(x.name) == s && x.attempt == t.attempt && x.status.equals("running")) {
+                        w.end(x, "done");
+                    }
+                }
+            }
+        }
+    }
+
+    void gang(JobSpec s) {
+        Map<Long, List<Object[]>> waiting = new HashMap<>();
+        for (Worker w : cloud.machines.values()) {
+            for (Worker.Task t : w.tasks.values()) {
+                if (spec(t.name) == s && t.status.equals("waiting")) {
+                    waiting.computeIfAbsent(t.attempt, a -> new ArrayList<>()).add(new Object[] {w, t});
+                }
+            }
+        }
+        waiting.values().stream().filter(l -> l.size() == s.members())
+                .forEach(l -> l.forEach(x -> ((Worker) x[0]).runs((Worker.Task) x[1], s)));
+    }
+
+    void gangLost(JobSpec s, long attempt, String reason) {
+        if (reason.equals("done") || reason.equals("peers")) {
+            return;
+        }
+        sim.after(3000, () -> {
+            for (Worker w : cloud.machines.values()) {
+                for (Worker.Task t : new ArrayList<>(w.tasks.values())) {
+                    if (spec(t.name) == s && t.attempt == attempt && t.status.equals("running")) {
+                        w.end(t, "peers");
+                    }
+                }
+            }
+        });
+    }
+
+    // ---- users and rules about answers
+
+    public int accepted() {
+        return told.size();
+    }
+
+    public boolean told(String id, String status) {
+        return status.equals(finalTold.get(id));
+    }
+
+    private Member any() {
+        return controllers.get(sim.random.nextInt(controllers.size()));
+    }
+
+    public void submit(JobSpec s) {
+        specs.put(s.id(), s);
+        submit(s, sim.now() + 60_000);
+    }
+
+    private void submit(JobSpec s, long until) {
+        String before = finalTold.get(s.id());
+        net.call(USERS, any().listen, "POST", "/v2/runs", Codec.CBOR.write(s.encode()), 5000, (status, body, retry) -> {
+            if (status == 200 || status == 201) {
+                if (told.add(s.id())) {
+                    sim.after(5000, () -> poll(s.id()));
+                }
+                answered(s.id(), Codec.CBOR.readMap(body).path("status").asText(), before);
+            } else if (status == 400 || status == 422) {
+                breach("forgotten", s.id() + " got " + status);
+            } else if (sim.now() < until) {
+                sim.after(1000L * Math.max(1, retry), () -> submit(s, until));
+            }
+        });
+    }
+
+    private void poll(String id) {
+        query(id);
+        sim.after(finalTold.containsKey(id) ? 30_000 : 5_000, () -> poll(id));
+    }
+
+    /** Asks once, for a job that may never have been submitted. */
+    public void query(String id) {
+        boolean known = told.contains(id);
+        String before = finalTold.get(id);
+        net.call(USERS, any().listen, "GET", "/v2/runs/" + id, null, 2000, (status, body, retry) -> {
+            if (status == 404 && known) {
+                breach("forgotten", id);
+            } else if (status == 200) {
+                if (!specs.containsKey(id)) {
+                    breach("invented", id);
+                }
+                answered(id, Codec.CBOR.readMap(body).path("status").asText(), before);
+            }
+        });
+    }
+
+    /** Judges what a user was told, against the final state that was told when the user asked, if any. */
+    public void answered(String id, String status, String before) {
+        if (before != null && !before.equals(status)) {
+            breach("went_back", id + " was " + before + ", is " + status);
+        }
+        if (status.equals("cancelled") && !cancelAsked.contains(id)) {
+            breach("went_back", id + " was never cancelled by its user");
+        }
+        if (status.equals("done")) {
+            JobSpec s = specs.get(id);
+            for (int i = 0; s != null && i < s.members(); i++) {
+                if (!results.contains(id + "/" + i)) {
+                    breach("not_done", id + "/" + i);
+                }
+            }
+        }
+        if (status.equals("done") || status.equals("cancelled")) {
+            finalTold.putIfAbsent(id, status);
+        }
+    }
+
+    public void cancel(String id) {
+        cancelAsked.add(id);
+        String before = finalTold.get(id);
+        net.call(USERS, any().listen, "POST", "/v2/runs/" + id + "/cancel", Codec.CBOR.write(Codec.map()), 5000, (status, body, retry) -> {
+            if (status == 200) {
+                String s = Codec.CBOR.readMap(body).path("status").asText();
+                answered(id, s, before);
+                if (s.equals("cancelled")) {
+                    cancelTold.putIfAbsent(id, sim.now());
+                }
+            } else {
+                sim.after(1000L * Math.max(1, retry), () -> cancel(id));
+            }
+        });
+    }
+
+    /** Whether every accepted job has reached its end and its user was told. */
+    public List<String> unfinished() {
+        List<String> out = new ArrayList<>();
+        for (String id : told) {
+            if (!finalTold.containsKey(id) && !specs.get(id).service()) {
+                out.add(id);
+            }
+        }
+        return out;
+    }
+}
