Evidence ends with ownership; polls crossing an end; slow confirmations; demand-bound renting

(3) a slow confirmation re-applied records the watch had already removed. Renting by demand bound, dear machines closed beyond the need: not yet measured.

--- a/src/main/java/io/quincelead/app/Constants.java
+++ b/src/main/java/io/quincelead/app/Constants.java
@@ -126,6 +126,22 @@
     public static final long NO_CAPACITY_MAX_MS = 45_000;
     /** s. A machine is expected to stay about this long: spreads the cost of its start over its work. */
     public static final double EXPECTED_STAY_S = 300;
+    /** s. The time over which arriving work is averaged into the usual load. */
+    public static final double LOAD_WINDOW_S = 120;
+    /** Times. The usual load's work is multiplied by this: boots, fetches and gaps between tasks take their part. */
+    public static final double LOAD_MARGIN = 1.1;
+    /** s. A machine rented now helps after about this long. */
+    public static final double TYPICAL_BOOT_S = 25;
+    /** s. The least time a new machine is counted on to help, after its boot. */
+    public static final double LEAST_HELP_S = 15;
+    /** s. Within this time work that is late already should be done: hurry doesn't help it any more. */
+    public static final double LATE_DRAIN_S = 90;
+    /** Machines closed or opened in one write. */
+    public static final int CLOSE_WRITES = 4;
+    /** Times its CPUs that must be spare before a machine is closed: keeps it from being opened again at once. */
+    public static final double CLOSE_MARGIN = 1.3;
+    /** s. A machine is not closed before it has been paid for this long. */
+    public static final double CLOSE_AFTER_S = 50;
     /** Rentals whose outcome is open at one time: the cloud takes few calls a second. */
     public static final int MAX_RENTALS_OPEN = 6;
     /** ms. Marked machines are released this often. */
--- a/src/main/java/io/quincelead/cloud/Fleet.java
+++ b/src/main/java/io/quincelead/cloud/Fleet.java
@@ -80,6 +80,8 @@
     private long catalogAt = Long.MIN_VALUE / 2;
     private long listAt;
     private boolean writing;
+    private final Demand demand;
+    private Demand.Capacity capacity = new Demand.Capacity();
 
     public Fleet(Loop loop, Settings settings, OperatorSettings operator, Session session, Mirror mirror, StoreClient store,
             Blocks blocks, JobTable jobs, MachineTable machines, Catalog catalog, Leader leader, Transport transport, Runnable wake) {
@@ -97,6 +99,7 @@
         this.cloud = new CloudClient(loop, transport, settings);
         this.order = new QueueOrder(settings);
         this.wake = wake;
+        this.demand = new Demand(loop, order, settings);
         mirror.view(Keys.RENTAL, new Mirror.View() {
             @Override public void put(String key, JsonNode v, long stamp) {
                 String name = key.substring(Keys.RENTAL.length());
@@ -123,6 +126,7 @@
         if (!catalog.known()) {
             return;
         }
+        demand.observe(jobs);
         rentals.values().forEach(this::ask);
         if (now - listAt > Constants.LIST_EVERY_MS && !cloud.crowded()) {
             listAt = now;
@@ -199,7 +203,7 @@
                         && age > Constants.STRANGER_LAGS * settings.cloudLimits().listLagS() && txn.fits(1, 1, store.txnOps())) {
                     LOG.info("machine {} is in the list and on no record; it is returned", host);
                     MachineTable.Machine stranger = new MachineTable.Machine(host, h.path("shape").asText(), h.path("site").asText(),
-                            h.path("preemptible").asBoolean(), null, loop.wall() - (long) (age * 1000), true);
+                            h.path("preemptible").asBoolean(), null, loop.wall() - (long) (age * 1000), true, false);
                     txn.guard(stranger.key(), 0).put(stranger.key(), stranger.encode());
                 } else if (m != null && failed && !m.returning()) {
                     giveBack(txn, m, "failed");
@@ -265,26 +269,12 @@
                 && o.shape.holds(s);
     }
 
-    /** Fills what there is and what is on its way with the waiting work; what is left over is rented for. */
+    /**
+     * Rents for what the machines that are up or on their way can't finish in time. Ordinary work is sized by
+     * {@link Demand}; work that only some machines may run is planned task by task.
+     */
     private void rentSome() {
         long now = loop.now();
-        List<Room> rooms = new ArrayList<>();
-        for (MachineTable.Machine m : machines.all()) {
-            Catalog.Shape shape = catalog.get(m.shape());
-            if (!m.returning() && shape != null) {
-                Room r = new Room(new Option(shape, m.site(), m.spot()));
-                for (Placement p : jobs.on(m.host()).values()) {
-                    r.take(p.job.spec, 1);
-                }
-                rooms.add(r);
-            }
-        }
-        for (Rental r : rentals.values()) {
-            Catalog.Shape shape = catalog.get(r.shape);
-            for (int i = 0; shape != null && i < r.howMany; i++) {
-                rooms.add(new Room(new Option(shape, r.site, r.spot)));
-            }
-        }
         Map<String, double[]> use = new HashMap<>();
         for (Job j : jobs.all()) {
             double[] u = use.computeIfAbsent(j.spec.owner(), t -> new double[2]);
@@ -299,9 +289,14 @@
         }
         queue.sort(QueueOrder.ORDER);
         Map<Option, Integer> buy = new LinkedHashMap<>();
+        List<Room> rooms = rooms();
         for (QueueOrder.Ranked q : queue) {
-            plan(q.job(), rooms, use, buy, now);
+            if (!Demand.ordinary(q.job().spec)) {
+                plan(q.job(), rooms, use, buy, now);
+            }
         }
+        Demand.Need need = demand.need(jobs, capacity, loop.wall());
+        buyOrdinary(need, buy, now);
         Txn txn = leader.txn();
         List<Rental> asked = new ArrayList<>();
         for (Map.Entry<Option, Integer> b : buy.entrySet()) {
@@ -316,10 +311,69 @@
             asked.add(r);
         }
         if (!asked.isEmpty()) {
+            LOG.debug("need {} with {} CPUs up or coming", need, capacity.cpus());
             commit(txn, () -> asked.forEach(this::ask));
         }
     }
 
+    /** Cheap machines for the usual load and for what is late; ordinary ones only for what would else be late. */
+    private void buyOrdinary(Demand.Need need, Map<Option, Integer> buy, long now) {
+        double missing = Math.max(need.urgentCpus(), need.usualCpus() - capacity.cpus());
+        double late = need.urgentCpus();
+        while (missing > 0.5) {
+            Option best = null;
+            double bestCost = Double.MAX_VALUE;
+            for (Catalog.Shape shape : catalog.all()) {
+                if (shape.cards() > 0) {
+                    continue;
+                }
+                for (String site : shape.sites()) {
+                    for (boolean spot : new boolean[] {true, false}) {
+                        Option o = new Option(shape, site, spot);
+                        Refusal refusal = refusals.get(o.id());
+                        if (refusal != null && now < refusal.until || !spot && late <= 0.5 || buy.getOrDefault(o, 0) >= Constants.MAX_RENT) {
+                            continue;
+                        }
+                        // Unused parts of a machine cost too, and so do its boot and its first fetch.
+                        double useful = Math.min(shape.vcpus(), Math.max(missing, shape.vcpus() / 2));
+                        double cost = shape.price(spot) / useful * (1 + shape.bootS() / Constants.EXPECTED_STAY_S);
+                        if (cost < bestCost) {
+                            best = o;
+                            bestCost = cost;
+                        }
+                    }
+                }
+            }
+            if (best == null) {
+                return;
+            }
+            buy.merge(best, 1, Integer::sum);
+            missing -= best.shape.vcpus();
+            late -= best.shape.vcpus();
+        }
+    }
+
+    private List<Room> rooms() {
+        List<Room> rooms = new ArrayList<>();
+        for (MachineTable.Machine m : machines.all()) {
+            Catalog.Shape shape = catalog.get(m.shape());
+            if (!m.returning() && shape != null) {
+                Room r = new Room(new Option(shape, m.site(), m.spot()));
+                for (Placement p : jobs.on(m.host()).values()) {
+                    r.take(p.job.spec, 1);
+                }
+                rooms.add(r);
+            }
+        }
+        for (Rental r : rentals.values()) {
+            Catalog.Shape shape = catalog.get(r.shape);
+            for (int i = 0; shape != null && i < r.howMany; i++) {
+                rooms.add(new Room(new Option(shape, r.site, r.spot)));
+            }
+        }
+        return rooms;
+    }
+
     private void plan(Job job, List<Room> rooms, Map<String, double[]> use, Map<Option, Integer> buy, long now) {
         JobSpec s = job.spec;
         Settings.Team team = settings.teams().get(s.owner());
@@ -328,7 +382,7 @@
         }
         double[] u = use.computeIfAbsent(s.owner(), t -> new double[2]);
         int quota = Tebas.remainCap(team.cpusMax() - u[0], Double.MAX_VALUE, team.gpusMax() - u[1], s.vcpus(), 0, s.cards());
-        double drain = s.urgency().ordinal() <= JobSpec.Urgency.HIGH.ordinal() ? operator.drainBacklogS() / 3 : operator.drainBacklogS();
+        double drain = operator.drainBacklogS();
         double part = s.mode() == JobSpec.Mode.ARRAY ? Math.min(1, Math.max(s.runtimeS(), 1) / drain) : 1;
         int need = Math.min(quota, (int) Math.ceil(job.pendingCount() * part));
         u[0] += need * s.vcpus();
@@ -397,7 +451,7 @@
             int got = 0;
             if (status == 200 && answer.path("hosts").isArray()) {
                 for (JsonNode h : answer.path("hosts")) {
-                    MachineTable.Machine m = new MachineTable.Machine(h.asText(), r.shape, r.site, r.spot, null, loop.wall(), false);
+                    MachineTable.Machine m = new MachineTable.Machine(h.asText(), r.shape, r.site, r.spot, null, loop.wall(), false, false);
                     got++;
                     if (machines.get(m.host()) == null) {
                         txn.guard(m.key(), 0).put(m.key(), m.encode());
@@ -432,14 +486,20 @@
 
     // ---- returning
 
+    /** Counts what there is, gives up boots that never come, and closes and returns machines beyond the need. */
     private void returnSome() {
         long now = loop.now();
-        double inUse = 0;
-        double free = 0;
-        List<MachineTable.Machine> idle = new ArrayList<>();
         Txn txn = leader.txn();
         shrunk.clear();
         Set<String> present = new HashSet<>();
+        List<MachineTable.Machine> up = new ArrayList<>();
+        capacity = new Demand.Capacity();
+        for (Rental r : rentals.values()) {
+            Catalog.Shape shape = catalog.get(r.shape);
+            if (shape != null) {
+                capacity.add(r.howMany * shape.vcpus(), shape.bootS() + shape.bootS() / 4);
+            }
+        }
         for (MachineTable.Machine m : machines.all()) {
             Catalog.Shape shape = catalog.get(m.shape());
             present.add(m.host());
@@ -450,35 +510,81 @@
             if (m.addr() == null) {
                 if (age > shape.bootS() * Constants.BOOT_PATIENCE + Constants.BOOT_SLACK_MS / 1000.0) {
                     giveBack(txn, m, "never came up");
+                } else {
+                    capacity.add(shape.vcpus(), Math.max(5, shape.bootS() * 1.2 - age));
                 }
                 continue;
             }
-            double used = 0;
-            for (Placement p : jobs.on(m.host()).values()) {
-                used += p.job.spec.vcpus();
-            }
-            inUse += used;
-            free += shape.vcpus() - used;
             if (!jobs.on(m.host()).isEmpty()) {
                 idleSince.remove(m.host());
-            } else if (now - idleSince.computeIfAbsent(m.host(), h -> now) > operator.idleReturnS() * 1000 && age > Constants.MIN_CHARGE_S) {
-                idle.add(m);
+            } else {
+                idleSince.putIfAbsent(m.host(), now);
+            }
+            if (!m.closed()) {
+                capacity.add(shape.vcpus(), 0);
             }
+            up.add(m);
         }
         idleSince.keySet().retainAll(present);
-        idle.sort(Comparator.comparingDouble(m -> -catalog.get(m.shape()).price(m.spot()) / catalog.get(m.shape()).vcpus()));
-        for (MachineTable.Machine m : idle) {
-            double c = catalog.get(m.shape()).vcpus();
-            if (free - c < inUse * operator.headroom() || !giveBack(txn, m, "idle")) {
-                continue;
-            }
-            free -= c;
+        Demand.Need need = demand.need(jobs, capacity, loop.wall());
+        returnIdle(txn, up, need, now);
+        if (txn.isEmpty()) {
+            closeSome(txn, up, need);
         }
         if (!txn.isEmpty()) {
             commit(txn, this::release);
         }
     }
 
+    private double perCpu(MachineTable.Machine m) {
+        Catalog.Shape s = catalog.get(m.shape());
+        return s.price(m.spot()) / s.vcpus();
+    }
+
+    private void returnIdle(Txn txn, List<MachineTable.Machine> up, Demand.Need need, long now) {
+        double spare = capacity.upCpus() - need.keepCpus(operator.headroom());
+        up.sort(Comparator.comparingDouble(m -> -perCpu(m)));
+        for (MachineTable.Machine m : up) {
+            Long since = idleSince.get(m.host());
+            double age = (loop.wall() - m.rentedAt()) / 1000.0;
+            if (since == null || age < Constants.MIN_CHARGE_S - 2) {
+                continue;
+            }
+            double c = catalog.get(m.shape()).vcpus();
+            if (m.closed()) {
+                giveBack(txn, m, "closed and empty");
+            } else if (now - since > operator.idleReturnS() * 1000 && need.urgentCpus() <= 0 && spare >= c) {
+                if (giveBack(txn, m, "idle")) {
+                    spare -= c;
+                }
+            }
+        }
+    }
+
+    /**
+     * The pass spreads tasks over all machines, so a dear machine beyond the need would never run empty: it is closed to
+     * new tasks, and returned when its last one has ended. When the need comes back first, it is opened again.
+     */
+    private void closeSome(Txn txn, List<MachineTable.Machine> up, Demand.Need need) {
+        double spare = capacity.upCpus() - need.keepCpus(operator.headroom());
+        int writes = 0;
+        for (MachineTable.Machine m : up) {
+            double c = catalog.get(m.shape()).vcpus();
+            if (writes >= Constants.CLOSE_WRITES || !txn.fits(1, 1, store.txnOps())) {
+                break;
+            }
+            if (m.closed() && need.urgentCpus() > 0.5) {
+                txn.guard(m.key(), mirror.stamp(m.key())).put(m.key(), m.closed(false).encode());
+                writes++;
+            } else if (!m.closed() && need.urgentCpus() <= 0 && spare >= c * Constants.CLOSE_MARGIN
+                    && (loop.wall() - m.rentedAt()) / 1000.0 > Constants.CLOSE_AFTER_S) {
+                txn.guard(m.key(), mirror.stamp(m.key())).put(m.key(), m.closed(true).encode());
+                spare -= c;
+                writes++;
+            }
+        }
+    }
+
     /** Releases what is marked; the cloud's 200 is the evidence that everything on the machines is gone. */
     private void release() {
         if (!leader.leading()) {
--- a/src/main/java/io/quincelead/jobs/Chunk.java
+++ b/src/main/java/io/quincelead/jobs/Chunk.java
@@ -135,6 +135,9 @@
 
         public void stop(int index) {
             Placement p = placed.get(index);
+            if (p == null) {
+                return;
+            }
             placed.put(index, new Placement(p.job, p.index, p.host, p.attempt, true, p.since));
             changed = true;
         }
--- a/src/main/java/io/quincelead/jobs/Placement.java
+++ b/src/main/java/io/quincelead/jobs/Placement.java
@@ -52,13 +52,23 @@
         return phase;
     }
 
-    /** Outcomes are absorbing: evidence is never taken back. */
+    /** Outcomes are absorbing while we own the machine: evidence is not taken back. */
     public void become(Phase next) {
         if (phase != Phase.DONE && phase != Phase.GONE) {
             phase = next;
         }
     }
 
+    /**
+     * The machine has changed hands. What we concluded under our term no longer holds: the record entitles the new
+     * owner to start the task there, so only the new owner can show that it is gone.
+     */
+    public void handedOver() {
+        phase = Phase.RECORDED;
+        reported = "";
+        runningSince = 0;
+    }
+
     public boolean over() {
         return phase == Phase.DONE || phase == Phase.GONE;
     }
--- a/src/main/java/io/quincelead/jobs/UserApi.java
+++ b/src/main/java/io/quincelead/jobs/UserApi.java
@@ -216,13 +216,16 @@
         }
         Txn compare = new Txn();
         List<Poll> batch = new ArrayList<>();
+        List<Boolean> absent = new ArrayList<>();
         while (!polls.isEmpty() && compare.fits(0, 2, store.txnOps())) {
             Poll p = polls.pollFirst();
             String key = Keys.JOB + p.id;
             compare.guard(key, mirror.stamp(key));
-            if (mirror.stamp(key) == 0) {
+            boolean unknown = mirror.stamp(key) == 0;
+            if (unknown) {
                 compare.guard(Keys.FINAL + p.id, 0);
             }
+            absent.add(unknown);
             batch.add(p);
         }
         long wait = store.waitMs(compare);
@@ -234,8 +237,8 @@
         barriersOut++;
         store.commit(compare, outcome -> {
             barriersOut--;
-            for (Poll p : batch) {
-                settle(p, outcome);
+            for (int i = 0; i < batch.size(); i++) {
+                settle(batch.get(i), absent.get(i), outcome);
             }
         });
         if (!polls.isEmpty()) {
@@ -243,32 +246,24 @@
         }
     }
 
-    private void settle(Poll p, Txn.Outcome outcome) {
+    /** 404 only if the store itself has just shown that neither record exists. */
+    private void settle(Poll p, boolean absent, Txn.Outcome outcome) {
+        boolean held = switch (outcome.result()) {
+            case DONE -> true;
+            case CONFLICT -> !outcome.failed().contains(Keys.JOB + p.id) && !outcome.failed().contains(Keys.FINAL + p.id)
+                    && !outcome.failed().isEmpty();
+            default -> false;
+        };
         Job job = jobs.get(p.id);
-        switch (outcome.result()) {
-            case DONE -> {
-                if (job != null) {
-                    p.request.answer(200, job.status());
-                } else if (finals.getIfPresent(p.id) != null) {
-                    p.request.answer(200, finals.getIfPresent(p.id));
-                } else {
-                    p.request.refuse(404, "no such job");
-                }
-            }
-            case CONFLICT -> {
-                boolean jobFailed = outcome.failed().contains(Keys.JOB + p.id);
-                boolean finalFailed = outcome.failed().contains(Keys.FINAL + p.id);
-                if (!jobFailed && !finalFailed) {
-                    if (job != null) {
-                        p.request.answer(200, job.status());
-                    } else {
-                        p.request.refuse(404, "no such job");
-                    }
-                } else {
-                    readFresh(p);
-                }
-            }
-            default -> p.request.later(503, "the state service does not answer");
+        if (outcome.result() != Txn.Result.DONE && outcome.result() != Txn.Result.CONFLICT) {
+            p.request.later(503, "the state service does not answer");
+        } else if (held && absent) {
+            p.request.refuse(404, "no such job");
+        } else if (held && job != null) {
+            p.request.answer(200, job.status());
+        } else {
+            // Changed since, or it ended elsewhere while the barrier was out: it is on record under one key or the other.
+            readFresh(p);
         }
     }
 
--- a/src/main/java/io/quincelead/leader/Leader.java
+++ b/src/main/java/io/quincelead/leader/Leader.java
@@ -220,7 +220,7 @@
                 continue;
             }
             MachineTable.Machine up = m == null
-                    ? new MachineTable.Machine(s.host(), s.shape(), s.site(), s.spot(), s.addr(), loop.wall(), false) : m.up(s.addr());
+                    ? new MachineTable.Machine(s.host(), s.shape(), s.site(), s.spot(), s.addr(), loop.wall(), false, false) : m.up(s.addr());
             txn.guard(up.key(), mirror.stamp(up.key())).put(up.key(), up.encode());
             give(next, changed, s.host(), null, term);
             any = true;
--- a/src/main/java/io/quincelead/placing/QueueOrder.java
+++ b/src/main/java/io/quincelead/placing/QueueOrder.java
@@ -3,15 +3,22 @@
 import io.quincelead.app.Constants;
 import io.quincelead.app.Settings;
 import io.quincelead.jobs.Job;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Who comes first: urgency, then teams within their guarantee, then nearness to the deadline or objective. */
 public final class QueueOrder {
     private final Map<String, Double> withinS = new HashMap<>();
+    private final Map<String, Settings.Team> teams;
 
     public QueueOrder(Settings settings) {
+        teams = settings.teams();
         for (Settings.Objective o : settings.objectives()) {
             if (!o.jobClass().isEmpty() && o.withinS() > 0) {
                 withinS.merge(o.jobClass(), o.withinS(), Math::min);
@@ -26,6 +33,28 @@
             .thenComparing(r -> !r.withinGuarantee).thenComparing(Ranked::hopeless)
             .thenComparingDouble(Ranked::slackS).thenComparing(r -> r.job.spec.id());
 
+    /** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
+    public Set<Job> guaranteed(Collection<Job> jobs) {
+        List<Job> byAge = new ArrayList<>(jobs);
+        byAge.sort(Comparator.comparingLong((Job j) -> j.acceptedAt).thenComparing(j -> j.spec.id()));
+        Map<String, double[]> wanted = new HashMap<>();
+        Set<Job> out = new HashSet<>();
+        for (Job j : byAge) {
+            Settings.Team team = teams.get(j.spec.owner());
+            if (team == null || j.cancelled()) {
+                continue;
+            }
+            int open = j.spec.members() - j.doneCount();
+            double[] w = wanted.computeIfAbsent(team.name(), t -> new double[2]);
+            w[0] += open * j.spec.vcpus();
+            w[1] += open * j.spec.cards();
+            if (w[0] <= team.cpus() + 1e-9 && w[1] <= team.gpus() + 1e-9) {
+                out.add(j);
+            }
+        }
+        return out;
+    }
+
     public Ranked rank(Job job, boolean withinGuarantee, long wallNow) {
         double age = (wallNow - job.acceptedAt) / 1000.0;
         double run = job.spec.runtimeS();
--- a/src/main/java/io/quincelead/placing/Rounds.java
+++ b/src/main/java/io/quincelead/placing/Rounds.java
@@ -26,6 +26,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -318,6 +319,7 @@
         readUse(plan);
         readRooms(plan);
         long now = loop.now();
+        Set<Job> guaranteed = order.guaranteed(jobs.all());
         List<QueueOrder.Ranked> queue = new ArrayList<>();
         String me = settings.member();
         QueueOrder.Ranked aheadAtLeader = null;
@@ -328,7 +330,7 @@
             if (job.spec.gang() && job.placedCount() > 0) {
                 continue;
             }
-            QueueOrder.Ranked r = order.rank(job, withinGuarantee(plan, job), loop.wall());
+            QueueOrder.Ranked r = order.rank(job, guaranteed.contains(job), loop.wall());
             if (job.controller.equals(me)) {
                 queue.add(r);
             } else if (job.controller.equals(blocks.leader()) && (aheadAtLeader == null || QueueOrder.ORDER.compare(r, aheadAtLeader) < 0)) {
@@ -346,7 +348,7 @@
             int left = placeJob(plan, job);
             if (left > 0) {
                 if (plan.leading) {
-                    makeRoom(plan, job, left);
+                    makeRoom(plan, r, left);
                 } else {
                     plan.misfits.add(job);
                 }
@@ -379,11 +381,6 @@
         u[1] += n * s.cards();
     }
 
-    private boolean withinGuarantee(Plan plan, Job job) {
-        Settings.Team team = settings.teams().get(job.spec.owner());
-        double[] use = plan.allUse.getOrDefault(job.spec.owner(), new double[2]);
-        return team != null && use[0] + job.spec.vcpus() <= team.cpus() + 1e-9 && use[1] + job.spec.cards() <= team.gpus() + 1e-9;
-    }
 
     private void readRooms(Plan plan) {
         Map<String, Long> mine = plan.block.machines();
@@ -391,7 +388,7 @@
             Catalog.Shape shape = catalog.get(m.shape());
             String owner = blocks.owner(m.host());
             boolean inBlock = mine.containsKey(m.host());
-            if (m.addr() == null || m.returning() || shape == null || owner == null) {
+            if (m.addr() == null || m.returning() || m.closed() || shape == null || owner == null) {
                 continue;
             }
             Desk.Own own = desk.own(m.host());
@@ -551,12 +548,13 @@
     // ---- preemption
 
     /** Stops work that the protocol lets this job displace, as little and as cheap as will do. */
-    private void makeRoom(Plan plan, Job job, int left) {
+    private void makeRoom(Plan plan, QueueOrder.Ranked ranked, int left) {
+        Job job = ranked.job();
         JobSpec s = job.spec;
         Blocks.Amount allowance = plan.block.allowance(s.owner());
         double[] use = plan.myUse.getOrDefault(s.owner(), new double[2]);
         int need = Math.min(left, Tebas.remainCap(allowance.cpus() - use[0], Double.MAX_VALUE, allowance.gpus() - use[1], s.vcpus(), 0, s.cards()));
-        boolean guaranteed = withinGuarantee(plan, job);
+        boolean guaranteed = ranked.withinGuarantee();
         if (need <= 0 || s.urgency() == JobSpec.Urgency.BEST_EFFORT && !guaranteed) {
             return;
         }
@@ -614,9 +612,11 @@
         if (v.urgency().ordinal() > forJob.spec.urgency().ordinal()) {
             return true;
         }
+        // For a guarantee the protocol lets us stop work of any urgency. We stop only work that comes after this job in the
+        // queue: more urgent work would take the room back at once, and the two would displace each other without end.
         Settings.Team team = settings.teams().get(v.owner());
         double[] use = plan.allUse.getOrDefault(v.owner(), new double[2]);
-        return guaranteed && !v.owner().equals(forJob.spec.owner()) && team != null
+        return guaranteed && v.urgency() == forJob.spec.urgency() && !v.owner().equals(forJob.spec.owner()) && team != null
                 && (use[0] - v.vcpus() >= team.cpus() || v.cards() > 0 && use[1] - v.cards() >= team.gpus());
     }
 
--- a/src/main/java/io/quincelead/state/Mirror.java
+++ b/src/main/java/io/quincelead/state/Mirror.java
@@ -152,6 +152,11 @@
 
     /** Applies a transaction of our own that the store has confirmed. */
     public void applied(Txn txn, long stamp) {
+        if (stamp <= generation) {
+            // The confirmation was slow and the watch has been past it: what it wrote may be changed or removed by now.
+            changed();
+            return;
+        }
         for (Map.Entry<String, ObjectNode> op : txn.ops().entrySet()) {
             if (!op.getKey().startsWith(Keys.LIVE)) {
                 continue;
--- a/src/main/java/io/quincelead/workers/Desk.java
+++ b/src/main/java/io/quincelead/workers/Desk.java
@@ -171,9 +171,7 @@
                 Own o = new Own(e.getKey(), e.getValue());
                 MachineTable.Machine m = machines.get(o.host);
                 o.addr = m == null ? null : m.addr();
-                for (Placement p : jobs.on(o.host).values()) {
-                    p.become(Placement.Phase.RECORDED);
-                }
+                jobs.on(o.host).values().forEach(Placement::handedOver);
                 mine.put(o.host, o);
                 loop.after(0, () -> claim(o));
             }
@@ -181,6 +179,7 @@
     }
 
     private void release(Own o) {
+        jobs.on(o.host).values().forEach(Placement::handedOver);
         if (o.parked != null) {
             redirect(o.parked, o.host);
             o.parked = null;
--- a/src/main/java/io/quincelead/workers/MachineTable.java
+++ b/src/main/java/io/quincelead/workers/MachineTable.java
@@ -13,23 +13,30 @@
 public final class MachineTable {
     /**
      * A machine's record. {@code addr} is null until its worker has reported; {@code returning} is recorded before
-     * the release is asked for, so a successor asks again.
+     * the release is asked for, so a successor asks again. A {@code closed} one gets no new tasks.
      */
-    public record Machine(String host, String shape, String site, boolean spot, String addr, long rentedAt, boolean returning) {
+    public record Machine(String host, String shape, String site, boolean spot, String addr, long rentedAt, boolean returning, boolean closed) {
         public ObjectNode encode() {
             ObjectNode n = Codec.map().put("k", shape).put("s", site).put("p", spot).put("r", rentedAt);
             if (addr != null) {
                 n.put("a", addr);
             }
+            if (closed) {
+                n.put("q", true);
+            }
             return returning ? n.put("x", true) : n;
         }
 
         public Machine up(String at) {
-            return new Machine(host, shape, site, spot, at, rentedAt, returning);
+            return new Machine(host, shape, site, spot, at, rentedAt, returning, closed);
         }
 
         public Machine returned() {
-            return new Machine(host, shape, site, spot, addr, rentedAt, true);
+            return new Machine(host, shape, site, spot, addr, rentedAt, true, closed);
+        }
+
+        public Machine closed(boolean yes) {
+            return new Machine(host, shape, site, spot, addr, rentedAt, returning, yes);
         }
 
         public String key() {
@@ -44,7 +51,8 @@
             @Override public void put(String key, JsonNode v, long stamp) {
                 String host = key.substring(Keys.MACHINE.length());
                 machines.put(host, new Machine(host, v.path("k").asText(), v.path("s").asText(), v.path("p").asBoolean(),
-                        v.hasNonNull("a") ? v.path("a").asText() : null, v.path("r").asLong(), v.path("x").asBoolean()));
+                        v.hasNonNull("a") ? v.path("a").asText() : null, v.path("r").asLong(), v.path("x").asBoolean(),
+                        v.path("q").asBoolean()));
             }
 
             @Override public void remove(String key) {
--- a/src/test/java/io/quincelead/world/DaysTest.java
+++ b/src/test/java/io/quincelead/world/DaysTest.java
@@ -162,6 +162,33 @@
         assertAllDone(w, 2);
     }
 
+    /** A low job within its team's guarantee and a normal one beyond its own once displaced each other for ever. */
+    @Test void guaranteesDoNotMakeJobsDisplaceEachOther() {
+        World w = new World(10, List.of(new Cloud.Shape("small", 8, 0, 32, 0.4, 0.15, 5, List.of("a"), 3)));
+        w.start();
+        w.sim.after(3_000, () -> w.submit(Jobs.array(1, "red", JobSpec.Urgency.NORMAL, 30, 2, 40)));
+        w.sim.after(30_000, () -> w.submit(Jobs.array(2, "blue", JobSpec.Urgency.BEST_EFFORT, 4, 2, 40)));
+        w.sim.run(500_000);
+        assertAllDone(w, 2);
+        assertTrue(w.starts.get("wk-000001") + w.starts.get("wk-000002") < 45, "starts: " + w.starts);
+    }
+
+    /** A poll whose barrier was out while another controller recorded the job's end once got 404. */
+    @Test void pollsThatCrossAnEndAreAnswered() {
+        World w = new World(20);
+        w.start();
+        for (int i = 1; i <= 10; i++) {
+            JobSpec s = Jobs.array(i, "red", JobSpec.Urgency.NORMAL, 2, 1, 2 + i % 5);
+            w.sim.after(3_000, () -> w.submit(s));
+        }
+        for (long t = 4_000; t < 60_000; t += 7) {
+            int i = (int) (t / 7 % 10) + 1;
+            w.sim.after(t, () -> w.query(String.format("wk-%06d", i)));
+        }
+        w.sim.run(120_000);
+        assertAllDone(w, 10);
+    }
+
     @Test void aTeamAtItsLimitStaysThereWhileControllersFail() {
         World w = new World(7);
         w.start();
--- a/src/test/java/io/quincelead/world/Store.java
+++ b/src/test/java/io/quincelead/world/Store.java
@@ -65,6 +65,7 @@
         down = on;
         if (!on) {
             holds.replaceAll((g, t) -> sim.now() + lives.get(g));
+            notifyWatches();
         }
     }
 
@@ -81,12 +82,12 @@
     }
 
     public void handle(Request r) {
-        if (r.path.equals("/watch")) {
+        if (r.path.equals("/watch") && !down) {
             Watch w = new Watch(r.query.get("prefix"), Long.parseLong(r.query.get("after")), r);
             watches.add(w);
             sim.after(Long.parseLong(r.query.getOrDefault("holdMs", "0")), () -> {
-                if (watches.remove(w)) {
-                    answer(w, Codec.list());
+                if (!down && watches.remove(w)) {
+                    answer(w, news(w));
                 }
             });
             notifyWatches();
@@ -205,17 +206,7 @@
                 w.request.answer(410, Codec.map());
                 continue;
             }
-            ArrayNode news = Codec.list();
-            for (int i = changes.size() - 1; i >= 0 && changes.get(i).generation > w.after; i--) {
-                Change c = changes.get(i);
-                if (c.key.startsWith(w.prefix)) {
-                    ObjectNode n = Codec.map().put(c.value == null ? "remove" : "put", c.key).put("stamp", c.generation);
-                    if (c.value != null) {
-                        n.set("value", c.value);
-                    }
-                    news.insert(0, n);
-                }
-            }
+            ArrayNode news = news(w);
             if (!news.isEmpty()) {
                 watches.remove(w);
                 answer(w, news);
@@ -223,6 +214,21 @@
         }
     }
 
+    private ArrayNode news(Watch w) {
+        ArrayNode news = Codec.list();
+        for (int i = changes.size() - 1; i >= 0 && changes.get(i).generation > w.after; i--) {
+            Change c = changes.get(i);
+            if (c.key.startsWith(w.prefix)) {
+                ObjectNode n = Codec.map().put(c.value == null ? "remove" : "put", c.key).put("stamp", c.generation);
+                if (c.value != null) {
+                    n.set("value", c.value);
+                }
+                news.insert(0, n);
+            }
+        }
+        return news;
+    }
+
     private void answer(Watch w, ArrayNode news) {
         ObjectNode out = Codec.map().put("generation", generation);
         out.set("news", news);
