--- a/src/main/java/io/quincelead/placing/Rounds.java
+++ b/src/main/java/io/quincelead/placing/Rounds.java
@@ -185,7 +185,8 @@
     private void run() {
         lastRound = loop.now();
         if (!session.valid() || blocks.mine() == null || !mirror.synced()) {
-            become(Phase.IDLE);
+            // Evidence may be waiting: the round is only put off, or nothing might wake it again.
+            loop.after(Constants.RETRY_MS, this::run);
             return;
         }
         Plan plan = new Plan();
