Fetch time counts in Fitness; more urgent arrivals count in renting

Cause: each task went to the machine with most room, so every machine fetched every image; ice-forecast waited for fetches.

--- a/src/main/java/io/quincelead/app/Constants.java
+++ b/src/main/java/io/quincelead/app/Constants.java
@@ -127,7 +127,7 @@
     /** s. A machine is expected to stay about this long: spreads the cost of its start over its work. */
     public static final double EXPECTED_STAY_S = 300;
     /** s. The time over which arriving work is averaged into the usual load. */
-    public static final double LOAD_WINDOW_S = 120;
+    public static final double LOAD_WINDOW_S = 90;
     /** Times. The usual load's work is multiplied by this: boots, fetches and gaps between tasks take their part. */
     public static final double LOAD_MARGIN = 1.1;
     /** s. A machine rented now helps after about this long. */
--- a/src/main/java/io/quincelead/app/Controller.java
+++ b/src/main/java/io/quincelead/app/Controller.java
@@ -17,6 +17,7 @@
 import io.quincelead.state.Session;
 import io.quincelead.state.StoreClient;
 import io.quincelead.workers.Desk;
+import io.quincelead.workers.ImageCaches;
 import io.quincelead.workers.MachineTable;
 
 /** One controller: the slices, wired. It knows no sockets and no clocks but the loop's and the transport's. */
@@ -41,9 +42,12 @@
         jobs = new JobTable(loop, mirror);
         MachineTable machines = new MachineTable(mirror);
         Catalog catalog = new Catalog(mirror);
+        ImageCaches images = new ImageCaches(machines, label -> catalog.get(label) == null ? 0 : catalog.get(label).localGb());
+        jobs.onPlaced(p -> images.used(p.host, p.job.spec));
+        loop.every(Constants.LIST_EVERY_MS, images::prune);
         Leader leader = new Leader(loop, settings, session, mirror, store, blocks, jobs, machines, catalog);
         peers = new Peers(loop, settings, blocks, transport, leader);
-        rounds = new Rounds(loop, settings, operator, session, mirror, store, blocks, jobs, machines, catalog, this::settle);
+        rounds = new Rounds(loop, settings, operator, session, mirror, store, blocks, jobs, machines, catalog, images, this::settle);
         desk = new Desk(loop, settings, session, blocks, jobs, machines, mirror, store, transport, new Desk.Office() {
             @Override public void stray(Desk.Stray stray) {
                 peers.stray(stray);
--- a/src/main/java/io/quincelead/cloud/Catalog.java
+++ b/src/main/java/io/quincelead/cloud/Catalog.java
@@ -15,7 +15,7 @@
 /** The machine types, as the leader last read them from the cloud and recorded them for all controllers. */
 public final class Catalog {
     /** A machine type; prices are per hour. */
-    public record Shape(String label, double vcpus, double cards, double ramGb, double pullGbPerS, double price,
+    public record Shape(String label, double vcpus, double cards, double ramGb, double localGb, double pullGbPerS, double price,
             double spotPrice, double bootS, List<String> sites) {
 
         public double price(boolean spot) {
@@ -27,7 +27,7 @@
         }
 
         ObjectNode encode() {
-            ObjectNode n = Codec.map().put("label", label).put("vcpus", vcpus).put("cards", cards).put("ramGb", ramGb)
+            ObjectNode n = Codec.map().put("label", label).put("vcpus", vcpus).put("cards", cards).put("ramGb", ramGb).put("localGb", localGb)
                     .put("pullGbPerS", pullGbPerS).put("price", price).put("spotPrice", spotPrice).put("bootS", bootS);
             sites.forEach(n.putArray("sites")::add);
             return n;
@@ -38,7 +38,7 @@
             n.path("sites").forEach(s -> sites.add(s.asText()));
             double price = n.path("price").asDouble();
             return new Shape(n.path("label").asText(), n.path("vcpus").asDouble(), n.path("cards").asDouble(),
-                    n.path("ramGb").asDouble(), n.path("pullGbPerS").asDouble(1), price,
+                    n.path("ramGb").asDouble(), n.path("localGb").asDouble(20), n.path("pullGbPerS").asDouble(1), price,
                     n.path("spotPrice").asDouble(price), n.path("bootS").asDouble(30), sites);
         }
     }
--- a/src/main/java/io/quincelead/cloud/Demand.java
+++ b/src/main/java/io/quincelead/cloud/Demand.java
@@ -26,7 +26,7 @@
     private final QueueOrder order;
     private final Settings settings;
     private final Set<String> seen = new HashSet<>();
-    private double arrivedWork;
+    private final double[] arrivedWork = new double[JobSpec.Urgency.values().length];
     private long arrivedAt;
     private long observing = -1;
 
@@ -80,23 +80,31 @@
             observing = now;
             arrivedAt = now;
         }
-        arrivedWork *= Math.exp(-(now - arrivedAt) / 1000.0 / Constants.LOAD_WINDOW_S);
+        double fade = Math.exp(-(now - arrivedAt) / 1000.0 / Constants.LOAD_WINDOW_S);
+        for (int u = 0; u < arrivedWork.length; u++) {
+            arrivedWork[u] *= fade;
+        }
         arrivedAt = now;
         seen.removeIf(id -> jobs.get(id) == null);
         for (Job j : jobs.all()) {
             if (seen.add(j.spec.id()) && ordinary(j.spec)) {
-                arrivedWork += j.spec.members() * j.spec.vcpus() * Math.max(1, j.spec.runtimeS());
+                arrivedWork[j.spec.urgency().ordinal()] += j.spec.members() * j.spec.vcpus() * Math.max(1, j.spec.runtimeS());
             }
         }
     }
 
-    private double usual() {
+    /** CPUs that work arriving at the present rate keeps busy, counting only urgencies before this one. */
+    private double usual(int beforeUrgency) {
         double watchedS = Math.max(20, (loop.now() - observing) / 1000.0);
         double window = Constants.LOAD_WINDOW_S * (1 - Math.exp(-watchedS / Constants.LOAD_WINDOW_S));
-        return arrivedWork / window * Constants.LOAD_MARGIN;
+        double sum = 0;
+        for (int u = 0; u < beforeUrgency; u++) {
+            sum += arrivedWork[u];
+        }
+        return sum / window;
     }
 
-    private record Due(double inS, double work) { }
+    private record Due(double inS, double work, int urgency) { }
 
     Need need(JobTable jobs, Capacity capacity, long wall) {
         List<Due> dues = new ArrayList<>();
@@ -114,7 +122,7 @@
                     inUse += s.vcpus();
                     double ran = (now - p.since) / 1000.0;
                     double left = s.service() ? 1e6 : Math.max(run - ran, run * 0.2);
-                    dues.add(new Due(left, left * s.vcpus()));
+                    dues.add(new Due(left, left * s.vcpus(), 0));
                 }
             }
             if (j.cancelled() || j.pendingCount() == 0 || !ordinary(s) || now < j.notBefore) {
@@ -129,7 +137,7 @@
             }
             // Tasks run in whole waves: of the time until it is due, only whole run times count.
             double waves = Math.max(run, Math.floor(due / run) * run);
-            dues.add(new Due(Math.min(due, waves), cpus * run));
+            dues.add(new Due(Math.min(due, waves), cpus * run, s.urgency().ordinal()));
         }
         dues.sort(Comparator.comparingDouble(Due::inS));
         double work = 0;
@@ -140,11 +148,12 @@
             work += d.work;
             double t = Math.max(d.inS, 5);
             queue = Math.max(queue, work / t);
-            double missing = work - capacity.work(t);
+            // Until then, more urgent work will arrive and go first.
+            double missing = work + usual(d.urgency) * t - capacity.work(t);
             if (missing > 0) {
                 urgent = Math.max(urgent, missing / Math.max(t - bootS, Constants.LEAST_HELP_S));
             }
         }
-        return new Need(usual(), urgent, inUse, Math.min(queue, inUse * 2 + 50));
+        return new Need(usual(arrivedWork.length) * Constants.LOAD_MARGIN, urgent, inUse, Math.min(queue, inUse * 2 + 50));
     }
 }
--- a/src/main/java/io/quincelead/cloud/Fleet.java
+++ b/src/main/java/io/quincelead/cloud/Fleet.java
@@ -553,7 +553,7 @@
             double c = catalog.get(m.shape()).vcpus();
             if (m.closed()) {
                 giveBack(txn, m, "closed and empty");
-            } else if (now - since > operator.idleReturnS() * 1000 && need.urgentCpus() <= 0 && spare >= c) {
+            } else if (now - since > operator.idleReturnS() * 1000 && need.urgentCpus() <= 0 && spare >= c / 2) {
                 if (giveBack(txn, m, "idle")) {
                     spare -= c;
                 }
--- a/src/main/java/io/quincelead/jobs/JobTable.java
+++ b/src/main/java/io/quincelead/jobs/JobTable.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -22,6 +23,7 @@
     private final Map<String, Map<String, Placement>> byHost = new HashMap<>();
     private final Set<String> orphans = new LinkedHashSet<>();
     private long openTasks;
+    private Consumer<Placement> onPlaced = p -> { };
 
     public JobTable(Loop loop, Mirror mirror) {
         this.loop = loop;
@@ -45,6 +47,11 @@
         });
     }
 
+    /** Called for each start that appears on record. */
+    public void onPlaced(Consumer<Placement> listener) {
+        onPlaced = listener;
+    }
+
     public Job get(String id) {
         return jobs.get(id);
     }
@@ -131,6 +138,10 @@
         job.set(number, next);
         if (next != null) {
             for (Placement p : next.placed.values()) {
+                Placement old = before == null ? null : before.placed.get(p.index);
+                if (old == null || !old.same(p.index, p.host, p.attempt)) {
+                    onPlaced.accept(p);
+                }
                 byHost.computeIfAbsent(p.host, h -> new LinkedHashMap<>()).put(p.name(), p);
             }
         }
--- a/src/main/java/io/quincelead/placing/Rounds.java
+++ b/src/main/java/io/quincelead/placing/Rounds.java
@@ -19,6 +19,7 @@
 import io.quincelead.state.StoreClient;
 import io.quincelead.state.Txn;
 import io.quincelead.workers.Desk;
+import io.quincelead.workers.ImageCaches;
 import io.quincelead.workers.MachineTable;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -50,6 +51,7 @@
     private final JobTable jobs;
     private final MachineTable machines;
     private final Catalog catalog;
+    private final ImageCaches images;
     private final QueueOrder order;
     private final Runnable settled;
     private Desk desk;
@@ -59,7 +61,8 @@
     private long lastRound;
 
     public Rounds(Loop loop, Settings settings, OperatorSettings operator, Session session, Mirror mirror, StoreClient store,
-            Blocks blocks, JobTable jobs, MachineTable machines, Catalog catalog, Runnable settled) {
+            Blocks blocks, JobTable jobs, MachineTable machines, Catalog catalog, ImageCaches images,
+            Runnable settled) {
         this.loop = loop;
         this.settings = settings;
         this.operator = operator;
@@ -70,6 +73,7 @@
         this.jobs = jobs;
         this.machines = machines;
         this.catalog = catalog;
+        this.images = images;
         this.order = new QueueOrder(settings);
         this.settled = settled;
     }
@@ -449,9 +453,8 @@
             }
             int cap = r.cap(s) - spread.getOrDefault(r.host, 0);
             if (cap > 0) {
-                double frequency = operator.frequency().getOrDefault(r.shape.label(), 1.0);
-                byZone.computeIfAbsent(r.site, z -> new ArrayList<>())
-                        .add(new Tebas.Seat(r.host, Tebas.fitness(operator.alpha(), s.vcpus(), frequency), cap, cap));
+                double fitness = Tebas.fitness(operator.alpha(), s.vcpus(), frequency(s, r));
+                byZone.computeIfAbsent(r.site, z -> new ArrayList<>()).add(new Tebas.Seat(r.host, fitness, cap, cap));
             }
         }
         if (!s.oneZone() && !s.scatter()) {
@@ -486,6 +489,20 @@
         return left;
     }
 
+    /**
+     * The machine's frequency as this task gets to feel it: while its image is fetched, nothing runs. Where fetches take
+     * as long as the tasks themselves, the paper's gain of a machine is mostly a matter of who has the image.
+     */
+    private double frequency(JobSpec s, Room r) {
+        double clock = operator.frequency().getOrDefault(r.shape.label(), 1.0);
+        if (images.has(r.host, s.container()) || s.service()) {
+            return clock;
+        }
+        double fetchS = s.sizeGb() / Math.max(r.shape.pullGbPerS(), 0.01);
+        double runS = Math.max(s.runtimeS(), 1);
+        return clock * runS / (runS + fetchS);
+    }
+
     private static void count(Map<String, Integer> spread, Tebas.Seat seat) {
         if (seat.assigned > 0) {
             spread.merge(seat.host, seat.assigned, Integer::sum);
