--- a/src/main/java/io/quincelead/app/Constants.java
+++ b/src/main/java/io/quincelead/app/Constants.java
@@ -126,20 +126,34 @@
     public static final long NO_CAPACITY_MAX_MS = 45_000;
     /** s. A machine is expected to stay about this long: spreads the cost of its start over its work. */
     public static final double EXPECTED_STAY_S = 300;
-    /** s. The time over which arriving work is averaged into the usual load. */
-    public static final double LOAD_WINDOW_S = 90;
+    /** s. Short average of the arriving work: notices when a load has ended. */
+    public static final double LOAD_SHORT_S = 60;
+    /** s. Long average of the arriving work: one large job does not look like a load. */
+    public static final double LOAD_LONG_S = 180;
+    /** s. Less time than this says little of a rate. */
+    public static final double LOAD_LEAST_S = 40;
+    /** Parts of the capacity that must be missing in time before dear machines are rented for it. */
+    public static final double DEAR_SHARE = 0.05;
     /** Times. The usual load's work is multiplied by this: boots, fetches and gaps between tasks take their part. */
     public static final double LOAD_MARGIN = 1.1;
     /** s. A machine rented now helps after about this long. */
     public static final double TYPICAL_BOOT_S = 25;
-    /** s. The least time a new machine is counted on to help, after its boot. */
-    public static final double LEAST_HELP_S = 15;
+    /** s. Work due sooner than this is counted as due then: no machine rented now can help it earlier. */
+    public static final double SOONEST_HELP_S = 70;
+    /** Parts of the waiting CPUs for which cheap machines are rented at once, whatever the due times. */
+    public static final double CHEAP_SHARE = 0.6;
     /** s. Within this time work that is late already should be done: hurry doesn't help it any more. */
     public static final double LATE_DRAIN_S = 90;
     /** Machines closed or opened in one write. */
     public static final int CLOSE_WRITES = 4;
     /** Times its CPUs that must be spare before a machine is closed: keeps it from being opened again at once. */
     public static final double CLOSE_MARGIN = 1.3;
+    /** CPUs. A dear machine of this size is counted at twice its price, for the time it takes to run empty. */
+    public static final double SLOW_EMPTY_CPUS = 40;
+    /** ms. A task that saves is moved off a closed machine only after it has run this long: starts count after 30 s. */
+    public static final long MOVE_AFTER_MS = 32_000;
+    /** CPUs. Of a larger machine only this much must be spare: its tasks leave one by one, so its room goes slowly. */
+    public static final double CLOSE_MOST_CPUS = 24;
     /** s. A machine is not closed before it has been paid for this long. */
     public static final double CLOSE_AFTER_S = 50;
     /** Rentals whose outcome is open at one time: the cloud takes few calls a second. */
--- a/src/main/java/io/quincelead/cloud/Demand.java
+++ b/src/main/java/io/quincelead/cloud/Demand.java
@@ -26,7 +26,8 @@
     private final QueueOrder order;
     private final Settings settings;
     private final Set<String> seen = new HashSet<>();
-    private final double[] arrivedWork = new double[JobSpec.Urgency.values().length];
+    private static final double[] WINDOWS_S = {Constants.LOAD_SHORT_S, Constants.LOAD_LONG_S};
+    private final double[][] arrivedWork = new double[WINDOWS_S.length][JobSpec.Urgency.values().length];
     private long arrivedAt;
     private long observing = -1;
 
@@ -60,8 +61,8 @@
         }
     }
 
-    /** CPUs for the usual load, CPUs missing for what would be late, CPUs in use, and CPUs the queue needs in time. */
-    record Need(double usualCpus, double urgentCpus, double inUse, double queueCpus) {
+    /** CPUs for the usual load, CPUs missing for what would be late, CPUs in use, CPUs the queue needs in time, CPUs waiting. */
+    record Need(double usualCpus, double urgentCpus, double inUse, double queueCpus, double waitingCpus) {
         /** What should be kept: less than this is not returned to. */
         double keepCpus(double headroom) {
             return Math.max(usualCpus, Math.max(inUse * (1 + headroom), queueCpus));
@@ -76,32 +77,45 @@
     /** Notes what has arrived since the last look. */
     void observe(JobTable jobs) {
         long now = loop.now();
-        if (observing < 0) {
+        boolean first = observing < 0;
+        if (first) {
             observing = now;
             arrivedAt = now;
         }
-        double fade = Math.exp(-(now - arrivedAt) / 1000.0 / Constants.LOAD_WINDOW_S);
-        for (int u = 0; u < arrivedWork.length; u++) {
-            arrivedWork[u] *= fade;
+        for (int w = 0; w < WINDOWS_S.length; w++) {
+            double fade = Math.exp(-(now - arrivedAt) / 1000.0 / WINDOWS_S[w]);
+            for (int u = 0; u < arrivedWork[w].length; u++) {
+                arrivedWork[w][u] *= fade;
+            }
         }
         arrivedAt = now;
         seen.removeIf(id -> jobs.get(id) == null);
         for (Job j : jobs.all()) {
-            if (seen.add(j.spec.id()) && ordinary(j.spec)) {
-                arrivedWork[j.spec.urgency().ordinal()] += j.spec.members() * j.spec.vcpus() * Math.max(1, j.spec.runtimeS());
+            // What was there at the first look says nothing of the rate at which work arrives.
+            if (seen.add(j.spec.id()) && ordinary(j.spec) && !first) {
+                for (double[] work : arrivedWork) {
+                    work[j.spec.urgency().ordinal()] += j.spec.members() * j.spec.vcpus() * Math.max(1, j.spec.runtimeS());
+                }
             }
         }
     }
 
-    /** CPUs that work arriving at the present rate keeps busy, counting only urgencies before this one. */
+    /**
+     * CPUs that work arriving at the present rate keeps busy, counting only urgencies before this one: the smaller of a
+     * long and a short average, so neither one large job nor a load that has ended counts for long.
+     */
     private double usual(int beforeUrgency) {
-        double watchedS = Math.max(20, (loop.now() - observing) / 1000.0);
-        double window = Constants.LOAD_WINDOW_S * (1 - Math.exp(-watchedS / Constants.LOAD_WINDOW_S));
-        double sum = 0;
-        for (int u = 0; u < beforeUrgency; u++) {
-            sum += arrivedWork[u];
+        double least = Double.MAX_VALUE;
+        for (int w = 0; w < WINDOWS_S.length; w++) {
+            double watchedS = Math.max(Constants.LOAD_LEAST_S, (loop.now() - observing) / 1000.0);
+            double window = WINDOWS_S[w] * (1 - Math.exp(-watchedS / WINDOWS_S[w]));
+            double sum = 0;
+            for (int u = 0; u < beforeUrgency; u++) {
+                sum += arrivedWork[w][u];
+            }
+            least = Math.min(least, sum / window);
         }
-        return sum / window;
+        return least;
     }
 
     private record Due(double inS, double work, int urgency) { }
@@ -143,17 +157,17 @@
         double work = 0;
         double urgent = 0;
         double queue = 0;
-        double bootS = Constants.TYPICAL_BOOT_S;
         for (Due d : dues) {
             work += d.work;
-            double t = Math.max(d.inS, 5);
+            // A machine rented now can't help what is due at once; that work counts as due when it could.
+            double t = Math.max(d.inS, Constants.SOONEST_HELP_S);
             queue = Math.max(queue, work / t);
             // Until then, more urgent work will arrive and go first.
             double missing = work + usual(d.urgency) * t - capacity.work(t);
             if (missing > 0) {
-                urgent = Math.max(urgent, missing / Math.max(t - bootS, Constants.LEAST_HELP_S));
+                urgent = Math.max(urgent, missing / (t - Constants.TYPICAL_BOOT_S));
             }
         }
-        return new Need(usual(arrivedWork.length) * Constants.LOAD_MARGIN, urgent, inUse, Math.min(queue, inUse * 2 + 50));
+        return new Need(usual(arrivedWork[0].length) * Constants.LOAD_MARGIN, urgent, inUse, queue, waiting.values().stream().mapToDouble(x -> x).sum());
     }
 }
--- a/src/main/java/io/quincelead/cloud/Fleet.java
+++ b/src/main/java/io/quincelead/cloud/Fleet.java
@@ -318,8 +318,9 @@
 
     /** Cheap machines for the usual load and for what is late; ordinary ones only for what would else be late. */
     private void buyOrdinary(Demand.Need need, Map<Option, Integer> buy, long now) {
-        double missing = Math.max(need.urgentCpus(), need.usualCpus() - capacity.cpus());
-        double late = need.urgentCpus();
+        double cheap = Math.max(need.usualCpus(), need.inUse() + need.waitingCpus() * Constants.CHEAP_SHARE);
+        double missing = Math.max(need.urgentCpus(), cheap - capacity.cpus());
+        double late = need.urgentCpus() - capacity.cpus() * Constants.DEAR_SHARE;
         while (missing > 0.5) {
             Option best = null;
             double bestCost = Double.MAX_VALUE;
@@ -337,6 +338,10 @@
                         // Unused parts of a machine cost too, and so do its boot and its first fetch.
                         double useful = Math.min(shape.vcpus(), Math.max(missing, shape.vcpus() / 2));
                         double cost = shape.price(spot) / useful * (1 + shape.bootS() / Constants.EXPECTED_STAY_S);
+                        if (!spot) {
+                            // A dear machine must go again soon, and a large one takes long to run empty.
+                            cost *= 1 + shape.vcpus() / Constants.SLOW_EMPTY_CPUS;
+                        }
                         if (cost < bestCost) {
                             best = o;
                             bestCost = cost;
@@ -544,6 +549,8 @@
     private void returnIdle(Txn txn, List<MachineTable.Machine> up, Demand.Need need, long now) {
         double spare = capacity.upCpus() - need.keepCpus(operator.headroom());
         up.sort(Comparator.comparingDouble(m -> -perCpu(m)));
+        // Cheap machines stay while dear ones are open: those go first, even if they take longer to empty.
+        boolean dearOpen = up.stream().anyMatch(m -> !m.spot() && !m.closed());
         for (MachineTable.Machine m : up) {
             Long since = idleSince.get(m.host());
             double age = (loop.wall() - m.rentedAt()) / 1000.0;
@@ -553,6 +560,8 @@
             double c = catalog.get(m.shape()).vcpus();
             if (m.closed()) {
                 giveBack(txn, m, "closed and empty");
+            } else if (m.spot() && dearOpen) {
+                continue;
             } else if (now - since > operator.idleReturnS() * 1000 && need.urgentCpus() <= 0 && spare >= c / 2) {
                 if (giveBack(txn, m, "idle")) {
                     spare -= c;
@@ -576,7 +585,7 @@
             if (m.closed() && need.urgentCpus() > 0.5) {
                 txn.guard(m.key(), mirror.stamp(m.key())).put(m.key(), m.closed(false).encode());
                 writes++;
-            } else if (!m.closed() && need.urgentCpus() <= 0 && spare >= c * Constants.CLOSE_MARGIN
+            } else if (!m.closed() && !m.spot() && need.urgentCpus() <= 0 && spare >= Math.min(c, Constants.CLOSE_MOST_CPUS) * Constants.CLOSE_MARGIN
                     && (loop.wall() - m.rentedAt()) / 1000.0 > Constants.CLOSE_AFTER_S) {
                 txn.guard(m.key(), mirror.stamp(m.key())).put(m.key(), m.closed(true).encode());
                 spare -= c;
--- a/src/main/java/io/quincelead/placing/Rounds.java
+++ b/src/main/java/io/quincelead/placing/Rounds.java
@@ -299,16 +299,23 @@
         }
     }
 
-    /** A machine with a spot notice is drained of what can save; the rest may still finish in time. */
+    /**
+     * A machine with a spot notice is drained of what can save or has not begun; the rest may still finish in time.
+     * From a closed machine, only what saves and has run for a while is moved, so that it can be returned sooner.
+     */
     private void drains(Plan plan) {
         for (Desk.Own o : desk.owns()) {
-            if (!o.draining()) {
+            MachineTable.Machine m = machines.get(o.host);
+            boolean closed = m != null && m.closed();
+            if (!o.draining() && !closed) {
                 continue;
             }
             for (Placement p : jobs.on(o.host).values()) {
                 JobSpec s = p.job.spec;
                 boolean saves = s.snapshotEveryS() > 0 || s.service();
-                if (!p.stop && !p.over() && !p.job.cancelled() && (saves || p.runningSince == 0)) {
+                boolean due = o.draining() ? saves || p.runningSince == 0
+                        : saves && !s.gang() && p.runningSince > 0 && loop.now() - p.runningSince > Constants.MOVE_AFTER_MS;
+                if (due && !p.stop && !p.over() && !p.job.cancelled()) {
                     Chunk.Edit e = plan.edit(p.job, p);
                     if (e != null) {
                         e.stop(p.index);
--- /dev/null
+++ b/src/test/java/io/quincelead/app/PackagedIT.java
@@ -0,0 +1,96 @@
+package io.quincelead.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.sun.net.httpserver.HttpServer;
+import io.quincelead.net.Codec;
+import java.io.File;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Executors;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** One start of the packaged jar on loopback, against a store that is in trouble: it serves, and says "not now" at once. */
+class PackagedIT {
+    @TempDir Path dir;
+
+    @Test void thePackagedJarStartsAndAnswers() throws Exception {
+        HttpServer trouble = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        trouble.createContext("/", x -> {
+            x.sendResponseHeaders(503, -1);
+            x.close();
+        });
+        trouble.setExecutor(Executors.newCachedThreadPool(r -> {
+            Thread t = new Thread(r);
+            t.setDaemon(true);
+            return t;
+        }));
+        trouble.start();
+        int outside = trouble.getAddress().getPort();
+        int port = Main.freePort();
+        Path settings = Files.writeString(dir.resolve("s.toml"), """
+                member = "worker-0"
+                domain = "a"
+                listen = "127.0.0.1:%d"
+                cluster_listen = "127.0.0.1:%d"
+                [external]
+                cloud = "127.0.0.1:%d"
+                state = "127.0.0.1:%d"
+                [settings]
+                count = 1
+                [[settings.teams]]
+                name = "red"
+                cpus_max = 7.0
+                [settings.workers]
+                report_s = 1.0
+                lease_s = 10.0
+                cancel_s = 40.0
+                [settings.state]
+                rps = 200.0
+                write_rps = 80.0
+                value_kb = 8.0
+                txn_ops = 12
+                [settings.cloud]
+                rps = 2.0
+                [settings.limits]
+                max_connections = 100
+                """.formatted(port, Main.freePort(), outside, outside));
+        String java = ProcessHandle.current().info().command().orElse("java");
+        Process p = new ProcessBuilder(java, "-Xmx64m", "-jar", "target/quincelead.jar", "--config", settings.toString())
+                .redirectErrorStream(true).redirectOutput(new File(dir.toFile(), "log")).start();
+        try (var closing = new AutoCloseable() {
+            @Override public void close() {
+                p.destroyForcibly();
+                trouble.stop(0);
+            }
+        }) {
+            HttpClient http = HttpClient.newHttpClient();
+            URI base = URI.create("http://127.0.0.1:" + port);
+            int ready = 0;
+            for (int i = 0; i < 150 && ready == 0; i++) {
+                try {
+                    ready = http.send(HttpRequest.newBuilder(base.resolve("/ready")).build(), HttpResponse.BodyHandlers.discarding()).statusCode();
+                } catch (java.io.IOException e) {
+                    Thread.sleep(100);
+                }
+            }
+            assertEquals(503, ready);
+            byte[] big = new byte[70 * 1024];
+            assertEquals(400, http.send(HttpRequest.newBuilder(base.resolve("/v2/runs")).POST(HttpRequest.BodyPublishers.ofByteArray(big)).build(),
+                    HttpResponse.BodyHandlers.discarding()).statusCode());
+            HttpResponse<byte[]> poll = http.send(HttpRequest.newBuilder(base.resolve("/v2/runs/wk-1")).build(), HttpResponse.BodyHandlers.ofByteArray());
+            assertEquals(503, poll.statusCode());
+            assertEquals("1", poll.headers().firstValue("Retry-After").orElse(""));
+            assertTrue(Codec.CBOR.readMap(poll.body()).has("error"));
+            assertEquals(404, http.send(HttpRequest.newBuilder(base.resolve("/nothing")).build(), HttpResponse.BodyHandlers.discarding()).statusCode());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/io/quincelead/app/SettingsTest.java
@@ -0,0 +1,116 @@
+package io.quincelead.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+
+/** The settings files and the command line. */
+class SettingsTest {
+    @TempDir Path dir;
+
+    private static final String GOOD = """
+            member = "worker-0"
+            domain = "a"
+            listen = "10.0.0.1:8080"
+            cluster_listen = "10.0.0.1:8081"
+            new_field = "is ignored"
+            [[known]]
+            member = "worker-1"
+            domain = "a"
+            address = "10.0.0.2:8081"
+            [external]
+            cloud = "10.2.0.2:8443"
+            state = "10.2.0.1:2379"
+            [settings]
+            count = 2
+            zones = ["a"]
+            [[settings.teams]]
+            name = "red"
+            cpus = 1.5
+            cpus_max = 7.0
+            [[settings.objectives]]
+            kind = "wait"
+            class = "ice"
+            within_s = 2.0
+            share = 0.9
+            [settings.workers]
+            report_s = 1.0
+            lease_s = 10.0
+            cancel_s = 40.0
+            [settings.state]
+            rps = 200.0
+            write_rps = 80.0
+            value_kb = 8.0
+            txn_ops = 12
+            [settings.cloud]
+            rps = 2.0
+            list_lag_s = 8.0
+            [settings.limits]
+            max_connections = 800
+            """;
+
+    private File file(String name, String text) throws IOException {
+        return Files.writeString(dir.resolve(name), text).toFile();
+    }
+
+    private String wrong(String text) throws IOException {
+        File f = file("wrong.toml", text);
+        String message = assertThrows(Settings.Invalid.class, () -> Settings.load(f)).getMessage();
+        assertTrue(message.contains("wrong.toml") && message.lines().count() == 1, message);
+        return message;
+    }
+
+    @Test void readsThePlatformsFile() throws Exception {
+        Settings s = Settings.load(file("good.toml", GOOD));
+        assertEquals("worker-0", s.member());
+        assertEquals("10.0.0.2:8081", s.peers().get("worker-1"));
+        assertEquals(7.0, s.teams().get("red").cpusMax());
+        assertEquals(0.0, s.teams().get("red").gpusMax());
+        assertEquals(12, s.store().txnOps());
+    }
+
+    @Test void namesFileFieldAndWhatIsAllowed() throws Exception {
+        assertTrue(wrong(GOOD.replace("lease_s = 10.0", "lease_s = -1")).contains("settings.workers.lease_s: a number of at least 0.1"));
+        assertTrue(wrong(GOOD.replace("listen = \"10.0.0.1:8080\"", "listen = \"nowhere\"")).contains("listen: an address"));
+        assertTrue(wrong(GOOD.replace("cpus_max = 7.0", "")).contains("settings.teams[0].cpus_max"));
+        assertTrue(wrong(GOOD.replace("[external]", "[other]")).contains("external: a table is required"));
+        assertTrue(wrong("this is = = not TOML").contains("can't be read as TOML"));
+        assertTrue(assertThrows(Settings.Invalid.class, () -> Settings.load(new File(dir.toFile(), "missing"))).getMessage().contains("missing"));
+    }
+
+    @Test void operatorsSettingsFollowTheirSchema() throws Exception {
+        OperatorSettings o = OperatorSettings.load(file("o.json", "{\"alpha\":0.5,\"frequencyByType\":{\"gull\":1.2}}"));
+        assertEquals(0.5, o.alpha());
+        assertEquals(3, o.beta());
+        assertEquals(1.2, o.frequency().get("gull"));
+        for (String bad : new String[] {"{\"alpha\":2}", "{\"unknown\":1}", "{\"beta\":1.5}", "[]", "{"}) {
+            File f = file("bad.json", bad);
+            assertTrue(assertThrows(Settings.Invalid.class, () -> OperatorSettings.load(f)).getMessage().contains("bad.json"), bad);
+        }
+    }
+
+    private int run(StringWriter err, String... args) {
+        return new CommandLine(new Main()).setErr(new PrintWriter(err)).setOut(new PrintWriter(err)).execute(args);
+    }
+
+    @Test void theCommandLine() throws Exception {
+        StringWriter err = new StringWriter();
+        assertEquals(2, run(err));
+        assertEquals(2, run(err, "--nonsense"));
+        assertTrue(err.toString().contains("Usage:"));
+        StringWriter one = new StringWriter();
+        assertEquals(1, run(one, "--config", file("w.toml", GOOD.replace("count = 2", "count = \"two\"")).toString()));
+        assertEquals(1, one.toString().lines().count(), one.toString());
+        assertEquals(0, run(err, "--check", "--config", file("g.toml", GOOD).toString()));
+    }
+}
--- a/src/test/java/io/quincelead/world/World.java
+++ b/src/test/java/io/quincelead/world/World.java
@@ -237,8 +237,13 @@
         return controllers.get(sim.random.nextInt(controllers.size()));
     }
 
-    public void submit(JobSpec s) {
+    /** A user uploads the job's description, which workers fetch. */
+    public void upload(JobSpec s) {
         specs.put(s.id(), s);
+    }
+
+    public void submit(JobSpec s) {
+        upload(s);
         submit(s, sim.now() + 60_000);
     }
 
