--- a/src/main/java/io/quincelead/app/Constants.java
+++ b/src/main/java/io/quincelead/app/Constants.java
@@ -133,7 +133,7 @@
     /** s. Less time than this says little of a rate. */
     public static final double LOAD_LEAST_S = 40;
     /** Parts of the capacity that must be missing in time before dear machines are rented for it. */
-    public static final double DEAR_SHARE = 0.05;
+    public static final double DEAR_SHARE = 0.08;
     /** Times. The usual load's work is multiplied by this: boots, fetches and gaps between tasks take their part. */
     public static final double LOAD_MARGIN = 1.1;
     /** s. A machine rented now helps after about this long. */
@@ -144,6 +144,10 @@
     public static final double CHEAP_SHARE = 0.6;
     /** s. Within this time work that is late already should be done: hurry doesn't help it any more. */
     public static final double LATE_DRAIN_S = 90;
+    /** Parts of the waiting CPUs that count as open load: most of a burst waits only until room comes free. */
+    public static final double OPEN_WAITING_SHARE = 0.25;
+    /** CPUs. With nothing waiting, no machine is rented for a smaller usual load than this. */
+    public static final double CHEAP_LEAST_CPUS = 4;
     /** Machines closed or opened in one write. */
     public static final int CLOSE_WRITES = 4;
     /** Times its CPUs that must be spare before a machine is closed: keeps it from being opened again at once. */
--- a/src/main/java/io/quincelead/cloud/Demand.java
+++ b/src/main/java/io/quincelead/cloud/Demand.java
@@ -28,6 +28,7 @@
     private final Set<String> seen = new HashSet<>();
     private static final double[] WINDOWS_S = {Constants.LOAD_SHORT_S, Constants.LOAD_LONG_S};
     private final double[][] arrivedWork = new double[WINDOWS_S.length][JobSpec.Urgency.values().length];
+    private final double[] open = new double[JobSpec.Urgency.values().length];
     private long arrivedAt;
     private long observing = -1;
 
@@ -63,9 +64,14 @@
 
     /** CPUs for the usual load, CPUs missing for what would be late, CPUs in use, CPUs the queue needs in time, CPUs waiting. */
     record Need(double usualCpus, double urgentCpus, double inUse, double queueCpus, double waitingCpus) {
-        /** What should be kept: less than this is not returned to. */
-        double keepCpus(double headroom) {
-            return Math.max(usualCpus, Math.max(inUse * (1 + headroom), queueCpus));
+        /** What dear machines should be kept for: what is in use and what the queue needs in time. */
+        double keepDear(double headroom) {
+            return Math.max(inUse * (1 + headroom), queueCpus);
+        }
+
+        /** What cheap machines should be kept for: the usual load too. */
+        double keepCheap(double headroom) {
+            return Math.max(usualCpus, keepDear(headroom));
         }
     }
 
@@ -88,6 +94,15 @@
                 arrivedWork[w][u] *= fade;
             }
         }
+        double keep = first ? 0 : Math.exp(-(now - arrivedAt) / 1000.0 / Constants.LOAD_SHORT_S);
+        for (int u = 0; u < open.length; u++) {
+            open[u] *= keep;
+        }
+        for (Job j : jobs.all()) {
+            if (!j.cancelled() && ordinary(j.spec)) {
+                open[j.spec.urgency().ordinal()] += (1 - keep) * (j.placedCount() + Constants.OPEN_WAITING_SHARE * j.pendingCount()) * j.spec.vcpus();
+            }
+        }
         arrivedAt = now;
         seen.removeIf(id -> jobs.get(id) == null);
         for (Job j : jobs.all()) {
@@ -102,10 +117,14 @@
 
     /**
      * CPUs that work arriving at the present rate keeps busy, counting only urgencies before this one: the smaller of a
-     * long and a short average, so neither one large job nor a load that has ended counts for long.
+     * long and a short average, so neither one large job nor a load that has ended counts for long; and never more than
+     * was open on average, for estimates may be too high throughout.
      */
     private double usual(int beforeUrgency) {
-        double least = Double.MAX_VALUE;
+        double least = 0;
+        for (int u = 0; u < beforeUrgency; u++) {
+            least += open[u];
+        }
         for (int w = 0; w < WINDOWS_S.length; w++) {
             double watchedS = Math.max(Constants.LOAD_LEAST_S, (loop.now() - observing) / 1000.0);
             double window = WINDOWS_S[w] * (1 - Math.exp(-watchedS / WINDOWS_S[w]));
--- a/src/main/java/io/quincelead/cloud/Fleet.java
+++ b/src/main/java/io/quincelead/cloud/Fleet.java
@@ -321,7 +321,8 @@
         double cheap = Math.max(need.usualCpus(), need.inUse() + need.waitingCpus() * Constants.CHEAP_SHARE);
         double missing = Math.max(need.urgentCpus(), cheap - capacity.cpus());
         double late = need.urgentCpus() - capacity.cpus() * Constants.DEAR_SHARE;
-        while (missing > 0.5) {
+        double least = need.waitingCpus() > 0 ? 0.5 : Constants.CHEAP_LEAST_CPUS;
+        while (missing > least) {
             Option best = null;
             double bestCost = Double.MAX_VALUE;
             for (Catalog.Shape shape : catalog.all()) {
@@ -547,7 +548,8 @@
     }
 
     private void returnIdle(Txn txn, List<MachineTable.Machine> up, Demand.Need need, long now) {
-        double spare = capacity.upCpus() - need.keepCpus(operator.headroom());
+        double spareDear = capacity.upCpus() - need.keepDear(operator.headroom());
+        double spareCheap = capacity.upCpus() - need.keepCheap(operator.headroom());
         up.sort(Comparator.comparingDouble(m -> -perCpu(m)));
         // Cheap machines stay while dear ones are open: those go first, even if they take longer to empty.
         boolean dearOpen = up.stream().anyMatch(m -> !m.spot() && !m.closed());
@@ -562,9 +564,10 @@
                 giveBack(txn, m, "closed and empty");
             } else if (m.spot() && dearOpen) {
                 continue;
-            } else if (now - since > operator.idleReturnS() * 1000 && need.urgentCpus() <= 0 && spare >= c / 2) {
+            } else if (now - since > operator.idleReturnS() * 1000 && need.urgentCpus() <= 0 && (m.spot() ? spareCheap : spareDear) >= c / 2) {
                 if (giveBack(txn, m, "idle")) {
-                    spare -= c;
+                    spareDear -= c;
+                    spareCheap -= c;
                 }
             }
         }
@@ -575,7 +578,7 @@
      * new tasks, and returned when its last one has ended. When the need comes back first, it is opened again.
      */
     private void closeSome(Txn txn, List<MachineTable.Machine> up, Demand.Need need) {
-        double spare = capacity.upCpus() - need.keepCpus(operator.headroom());
+        double spare = capacity.upCpus() - need.keepDear(operator.headroom());
         int writes = 0;
         for (MachineTable.Machine m : up) {
             double c = catalog.get(m.shape()).vcpus();
--- a/src/main/java/io/quincelead/leader/Leader.java
+++ b/src/main/java/io/quincelead/leader/Leader.java
@@ -204,7 +204,8 @@
             String owner = blocks.owner(s.host());
             MachineTable.Machine m = machines.get(s.host());
             if (owner != null) {
-                if (!owner.equals(s.at()) && next.containsKey(s.at())) {
+                // A worker that was sent away just before its machine was granted will find its owner by itself.
+                if (s.stuck() && !owner.equals(s.at()) && next.containsKey(s.at())) {
                     LOG.info("machine {} reports to {} instead of its owner {}; it moves", s.host(), s.at(), owner);
                     if (next.containsKey(owner)) {
                         next.get(owner).machines().remove(s.host());
--- a/src/main/java/io/quincelead/peers/Peers.java
+++ b/src/main/java/io/quincelead/peers/Peers.java
@@ -53,7 +53,7 @@
         switch (request.path) {
             case "/peer/stray" -> {
                 leader.stray(new Desk.Stray(body.path("host").asText(), body.path("addr").asText(), body.path("shape").asText(),
-                        body.path("site").asText(), body.path("preemptible").asBoolean(), body.path("from").asText()));
+                        body.path("site").asText(), body.path("preemptible").asBoolean(), body.path("from").asText(), body.path("stuck").asBoolean()));
                 request.answer(200, Codec.JSON, Codec.map(), 0);
             }
             case "/peer/news" -> {
@@ -80,7 +80,7 @@
             return;
         }
         send("/peer/stray", Codec.map().put("from", settings.member()).put("host", s.host()).put("addr", s.addr())
-                .put("shape", s.shape()).put("site", s.site()).put("preemptible", s.spot()));
+                .put("shape", s.shape()).put("site", s.site()).put("preemptible", s.spot()).put("stuck", s.stuck()));
     }
 
     private void tell() {
--- a/src/main/java/io/quincelead/state/Mirror.java
+++ b/src/main/java/io/quincelead/state/Mirror.java
@@ -6,12 +6,12 @@
 import io.quincelead.app.Loop;
 import io.quincelead.net.Transport;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.agrona.collections.Object2LongHashMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -37,8 +37,9 @@
     private final StoreClient store;
     private final Map<String, View> views = new LinkedHashMap<>();
     private final List<Runnable> listeners = new ArrayList<>();
-    private final Map<String, Long> stamps = new HashMap<>();
-    private final Map<String, Long> tombstones = new HashMap<>();
+    /** Stamps of the keys that exist, and of the last removals that the watch has not yet passed; 0: none. */
+    private final Object2LongHashMap<String> stamps = new Object2LongHashMap<>(0);
+    private final Object2LongHashMap<String> tombstones = new Object2LongHashMap<>(0);
     private final long watchGapMs;
     private Phase phase = Phase.EMPTY;
     private boolean synced;
@@ -70,7 +71,7 @@
     }
 
     public long stamp(String key) {
-        return stamps.getOrDefault(key, 0L);
+        return stamps.getValue(key);
     }
 
     private void become(Phase next) {
@@ -107,7 +108,7 @@
                 return;
             }
             for (String key : new ArrayList<>(stamps.keySet())) {
-                if (!seen.contains(key) && stamps.get(key) <= from) {
+                if (!seen.contains(key) && stamp(key) <= from) {
                     remove(key, from);
                 }
             }
@@ -141,7 +142,7 @@
             }
             generation = Math.max(generation, body.path("generation").asLong());
             if (!tombstones.isEmpty()) {
-                tombstones.values().removeIf(s -> s <= generation);
+                tombstones.entrySet().removeIf(e -> e.getValue() <= generation);
             }
             if (!news.isEmpty()) {
                 changed();
@@ -172,7 +173,7 @@
     }
 
     private void put(String key, JsonNode value, long stamp) {
-        if (stamp <= stamp(key) || stamp <= tombstones.getOrDefault(key, 0L)) {
+        if (stamp <= stamp(key) || stamp <= tombstones.getValue(key)) {
             return;
         }
         stamps.put(key, stamp);
@@ -183,13 +184,13 @@
     }
 
     private void remove(String key, long stamp) {
-        Long known = stamps.get(key);
-        if (known != null && known > stamp) {
+        long known = stamp(key);
+        if (known > stamp) {
             return;
         }
-        tombstones.merge(key, stamp, Math::max);
-        if (known != null) {
-            stamps.remove(key);
+        tombstones.put(key, Math.max(stamp, tombstones.getValue(key)));
+        if (known != 0) {
+            stamps.removeKey(key);
             View view = viewOf(key);
             if (view != null) {
                 view.remove(key);
--- a/src/main/java/io/quincelead/workers/Desk.java
+++ b/src/main/java/io/quincelead/workers/Desk.java
@@ -34,8 +34,8 @@
 public final class Desk {
     private static final Logger LOG = LoggerFactory.getLogger(Desk.class);
 
-    /** A worker that reports here and isn't ours. */
-    public record Stray(String host, String addr, String shape, String site, boolean spot, String at) { }
+    /** A worker that reports to {@code at} and isn't of its block; {@code stuck}: it has an owner and keeps coming all the same. */
+    public record Stray(String host, String addr, String shape, String site, boolean spot, String at, boolean stuck) { }
 
     /** What the rest of the controller does for the desk. */
     public interface Office {
@@ -256,7 +256,7 @@
         long since = strays.computeIfAbsent(host, h -> now);
         if (owner == null || now - since > Constants.STRAY_MS) {
             office.stray(new Stray(host, body.path("addr").asText(), body.path("shape").asText(), body.path("site").asText(),
-                    body.path("preemptible").asBoolean(), settings.member()));
+                    body.path("preemptible").asBoolean(), settings.member(), owner != null));
             if (owner == null && settings.member().equals(blocks.leader())) {
                 // The grant is a few ms away: the worker then hears at once where to go.
                 loop.after(Constants.REPORT_PATIENCE_MS, () -> redirect(request, host));
