--- a/src/main/java/io/quincelead/app/Constants.java
+++ b/src/main/java/io/quincelead/app/Constants.java
@@ -111,7 +111,7 @@
     /** Parts of report_s for which the answer to an idle machine's report is kept open for a start. */
     public static final double PARK_IDLE_SHARE = 0.9;
     /** The same for a machine that runs tasks: its next report, maybe of an end, waits for the answer. */
-    public static final double PARK_BUSY_SHARE = 0.7;
+    public static final double PARK_BUSY_SHARE = 0.3;
     /** ms. Workers drop answers after 4 s; none is kept open longer than this. */
     public static final long PARK_MAX_MS = 2_800;
 
