--- a/src/main/java/io/quincelead/placing/Rounds.java
+++ b/src/main/java/io/quincelead/placing/Rounds.java
@@ -601,7 +601,10 @@
                     }
                 }
             }
-            victims.sort(Comparator.comparingInt((Placement p) -> -p.job.spec.urgency().ordinal()).thenComparingDouble(this::loss));
+            // Urgent work waits for the room: a task that first saves would keep it waiting longer than one that just ends.
+            boolean hurry = s.urgency().ordinal() <= JobSpec.Urgency.HIGH.ordinal();
+            victims.sort(Comparator.comparingDouble((Placement p) -> hurry && p.job.spec.snapshotEveryS() > 0 ? p.job.spec.snapshotS() : 0)
+                    .thenComparingInt(p -> -p.job.spec.urgency().ordinal()).thenComparingDouble(this::loss));
         }
         for (Placement p : victims) {
             if (need <= 0) {
