--- a/src/main/java/io/quincelead/cloud/Demand.java
+++ b/src/main/java/io/quincelead/cloud/Demand.java
@@ -144,7 +144,6 @@
         Map<String, Double> waiting = new HashMap<>();
         double inUse = 0;
         long now = loop.now();
-        Set<Job> guaranteed = order.guaranteed(jobs.all());
         for (Job j : jobs.all()) {
             JobSpec s = j.spec;
             double run = Math.max(1, s.runtimeS());
@@ -166,10 +165,6 @@
             double cpus = Math.min(j.pendingCount() * s.vcpus(), Math.max(0, most * 3 - waiting.getOrDefault(s.owner(), 0.0)));
             waiting.merge(s.owner(), cpus, Double::sum);
             double due = order.rank(j, true, wall).slackS() + run * Constants.ESTIMATE_DISTRUST;
-            if (guaranteed.contains(j)) {
-                // Work within a guarantee should not wait for others: what waits shows that there is too little.
-                due = Math.min(due, run + Constants.SOONEST_HELP_S);
-            }
             if (due < run) {
                 due = Constants.LATE_DRAIN_S;
             }
