--- a/src/main/java/io/quincelead/app/Constants.java
+++ b/src/main/java/io/quincelead/app/Constants.java
@@ -145,7 +145,7 @@
     /** s. Within this time work that is late already should be done: hurry doesn't help it any more. */
     public static final double LATE_DRAIN_S = 90;
     /** Parts of the waiting CPUs that count as open load: most of a burst waits only until room comes free. */
-    public static final double OPEN_WAITING_SHARE = 0.25;
+    public static final double OPEN_WAITING_SHARE = 1.0;
     /** CPUs. With nothing waiting, no machine is rented for a smaller usual load than this. */
     public static final double CHEAP_LEAST_CPUS = 4;
     /** Machines closed or opened in one write. */
--- a/src/main/java/io/quincelead/jobs/JobTable.java
+++ b/src/main/java/io/quincelead/jobs/JobTable.java
@@ -74,10 +74,6 @@
         return byHost.getOrDefault(host, Map.of());
     }
 
-    public Set<String> hosts() {
-        return byHost.keySet();
-    }
-
     private void putJob(String key, JsonNode value) {
         String id = key.substring(Keys.JOB.length());
         Job job = jobs.get(id);
--- a/src/main/java/io/quincelead/state/Session.java
+++ b/src/main/java/io/quincelead/state/Session.java
@@ -75,10 +75,6 @@
         return grant;
     }
 
-    public long lifeMs() {
-        return lifeMs;
-    }
-
     private void join() {
         become(Phase.OUT);
         long sent = loop.now();
--- a/src/main/java/io/quincelead/workers/Desk.java
+++ b/src/main/java/io/quincelead/workers/Desk.java
@@ -275,11 +275,6 @@
         request.answer(421, body);
     }
 
-    /** A stray that has stayed away this long is no stray any more. */
-    public void forgetStray(String host) {
-        strays.remove(host);
-    }
-
     /**
      * Takes a worker's list as evidence, if it is newer than all before and bears our term. A body of {@code /orders}
      * may overtake the answer to a report, so it never proves that a start of ours did not arrive.
