--- a/src/main/java/io/quincelead/peers/Peers.java
+++ b/src/main/java/io/quincelead/peers/Peers.java
@@ -31,7 +31,8 @@
     private Desk desk;
     private long heardAt = Long.MIN_VALUE / 2;
 
-    private record News(long at, Set<String> unfit, Set<String> booting) { }
+    /** Machines that may get work: named one by one, for a machine granted since isn't known to be up. */
+    private record News(long at, Set<String> fit, Set<String> booting) { }
 
     public Peers(Loop loop, Settings settings, Blocks blocks, Transport transport, Leader leader) {
         this.loop = loop;
@@ -59,7 +60,7 @@
                 request.answer(200, Codec.JSON, Codec.map(), 0);
             }
             case "/peer/news" -> {
-                news.put(body.path("from").asText(), new News(loop.now(), texts(body.path("unfit")), texts(body.path("booting"))));
+                news.put(body.path("from").asText(), new News(loop.now(), texts(body.path("fit")), texts(body.path("booting"))));
                 request.answer(200, Codec.JSON, Codec.map(), 0);
             }
             default -> request.answer(404, Codec.JSON, Codec.map().put("error", "no such message"), 0);
@@ -74,7 +75,7 @@
     /** Whether the owner said of late that the machine may get work. */
     public boolean fit(String owner, String host) {
         News n = news.get(owner);
-        return n != null && loop.now() - n.at < Constants.PEER_NEWS_MS && !n.unfit.contains(host);
+        return n != null && loop.now() - n.at < Constants.PEER_NEWS_MS && n.fit.contains(host);
     }
 
     /** Whether the owner said of late that the machine has not come up yet; null without its word. */
@@ -103,11 +104,11 @@
             return;
         }
         ObjectNode body = Codec.map().put("from", settings.member());
-        ArrayNode unfit = body.putArray("unfit");
+        ArrayNode fit = body.putArray("fit");
         ArrayNode booting = body.putArray("booting");
         for (Desk.Own o : desk.owns()) {
-            if (!o.fit()) {
-                unfit.add(o.host);
+            if (o.fit()) {
+                fit.add(o.host);
             }
             if (o.booting()) {
                 booting.add(o.host);
