--- a/src/main/java/io/quincelead/app/Constants.java
+++ b/src/main/java/io/quincelead/app/Constants.java
@@ -97,6 +97,10 @@
     /** Parts of the store's request limit that the watches of all controllers together may use. */
     public static final double WATCH_SHARE = 0.36;
 
+    /** ms. Pause of what users wait for when the store's limit of the moment is used up. */
+    public static final long BUSY_PAUSE_MS = 80;
+    /** Changes. A round waits until it may make this many, so that few large ones are written instead of many small. */
+    public static final int ROUND_LEAST_CHANGES = 3;
     /** ms. The share of the store's changes is looked at this often. */
     public static final long SHARE_TICK_MS = 1_000;
     /** Times. A controller that had to wait asks for this much more. */
--- a/src/main/java/io/quincelead/jobs/UserApi.java
+++ b/src/main/java/io/quincelead/jobs/UserApi.java
@@ -228,7 +228,7 @@
             absent.add(unknown);
             batch.add(p);
         }
-        long wait = store.waitMs(compare);
+        long wait = store.waitMs();
         if (wait > Constants.BARRIER_GAP_MS) {
             batch.forEach(polls::addFirst);
             wantBarrier(Math.min(wait, Constants.RETRY_MS));
--- a/src/main/java/io/quincelead/net/RateBudget.java
+++ b/src/main/java/io/quincelead/net/RateBudget.java
@@ -56,6 +56,12 @@
         tokens -= n;
     }
 
+    /** What can be taken now; below zero while in debt. */
+    public double available() {
+        refill();
+        return tokens;
+    }
+
     /** ms until {@code n} can be taken. */
     public long waitMs(double n) {
         refill();
--- a/src/main/java/io/quincelead/placing/Placer.java
+++ b/src/main/java/io/quincelead/placing/Placer.java
@@ -36,6 +36,11 @@
         if (tasks <= 0 || plan.open.isEmpty() || s.gang() && tasks < wanted) {
             return wanted;
         }
+        if (s.gang() && job.chunks.length > plan.changes - plan.edits.size()) {
+            // All of it must be in one write.
+            plan.truncated = true;
+            return wanted;
+        }
         Map<String, Integer> spread = new LinkedHashMap<>();
         int left = assign(job, tasks, true, spread);
         if (left > 0 && plan.leading) {
--- a/src/main/java/io/quincelead/placing/Plan.java
+++ b/src/main/java/io/quincelead/placing/Plan.java
@@ -27,13 +27,15 @@
     final Blocks.Block block;
     final boolean leading;
     final int blocks;
+    final int changes;
     final int txnOps;
     boolean truncated;
 
-    Plan(Blocks.Block block, boolean leading, int blocks, int txnOps) {
+    Plan(Blocks.Block block, boolean leading, int blocks, int changes, int txnOps) {
         this.block = block;
         this.leading = leading;
         this.blocks = blocks;
+        this.changes = changes;
         this.txnOps = txnOps;
     }
 
@@ -42,7 +44,7 @@
         Chunk c = job.chunk(number);
         Chunk.Edit e = edits.get(c);
         if (e == null) {
-            if (edits.size() >= txnOps || 4 + edits.size() * 2 + blocks >= txnOps * Constants.GUARDS_PER_OP) {
+            if (edits.size() >= changes || 4 + edits.size() * 2 + blocks >= txnOps * Constants.GUARDS_PER_OP) {
                 truncated = true;
                 return null;
             }
--- a/src/main/java/io/quincelead/placing/Rounds.java
+++ b/src/main/java/io/quincelead/placing/Rounds.java
@@ -63,6 +63,8 @@
     /** Whether work of ours waits for room, and whether work of the leader does. */
     private boolean waiting;
     private boolean leaderWaits;
+    /** Changes that the largest waiting gang needs at once. */
+    private int gangChanges;
     /** Chunks with ends that aren't on record, and when they should be. */
     private final Map<Ref, Long> ended = new LinkedHashMap<>();
     /** Since when a job has found no room in this block. */
@@ -154,13 +156,13 @@
             loop.after(Constants.RETRY_MS, this::run);
             return;
         }
-        long early = store.waitMs(1);
-        if (early > 0) {
+        int changes = Math.min(store.affordable(), store.txnOps());
+        if (changes < Math.min(Math.max(Constants.ROUND_LEAST_CHANGES, gangChanges), store.txnOps())) {
             // Over our share of the store's limit: a plan made now would be out of date when it may be written.
-            loop.after(Math.min(early, Constants.RETRY_MS), this::run);
+            loop.after(Constants.BUSY_PAUSE_MS, this::run);
             return;
         }
-        Plan plan = new Plan(blocks.mine(), leader.leading(), blocks.all().size(), store.txnOps());
+        Plan plan = new Plan(blocks.mine(), leader.leading(), blocks.all().size(), changes, store.txnOps());
         ends(plan);
         gangsWithLosses(plan);
         drains(plan);
@@ -319,6 +321,7 @@
         int ahead = chiefWaits.stream().mapToInt(j -> j.spec.urgency().ordinal()).min().orElse(Integer.MAX_VALUE);
         leaderWaits = !chiefWaits.isEmpty();
         waiting = !candidates.isEmpty();
+        gangChanges = candidates.stream().filter(j -> j.spec.gang()).mapToInt(j -> j.chunks.length).max().orElse(0);
         if (!waiting) {
             stuckSince.clear();
             return;
--- a/src/main/java/io/quincelead/state/Committer.java
+++ b/src/main/java/io/quincelead/state/Committer.java
@@ -35,6 +35,14 @@
         loop.after(0, this::pump);
     }
 
+    private void pause() {
+        busy = true;
+        loop.after(Constants.BUSY_PAUSE_MS, () -> {
+            busy = false;
+            pump();
+        });
+    }
+
     private void pump() {
         long now = loop.now();
         while (!waiting.isEmpty() && waiting.peekFirst().deadline < now) {
@@ -43,13 +51,8 @@
         if (busy || waiting.isEmpty()) {
             return;
         }
-        long wait = store.waitMs(waiting.peekFirst().txn);
-        if (wait > 0) {
-            busy = true;
-            loop.after(wait, () -> {
-                busy = false;
-                pump();
-            });
+        if (!store.urgentAffordable()) {
+            pause();
             return;
         }
         Txn txn = new Txn();
@@ -70,10 +73,16 @@
             if (outcome.result() == Txn.Result.DONE) {
                 mirror.applied(txn, outcome.generation());
             }
-            if (outcome.result() == Txn.Result.CONFLICT && batch.size() > 1) {
+            if (outcome.result() == Txn.Result.BUSY || outcome.result() == Txn.Result.CONFLICT && batch.size() > 1) {
+                boolean alone = outcome.result() == Txn.Result.CONFLICT;
                 for (int i = batch.size() - 1; i >= 0; i--) {
                     Entry e = batch.get(i);
-                    waiting.addFirst(new Entry(e.txn, e.done, e.deadline, true));
+                    waiting.addFirst(new Entry(e.txn, e.done, e.deadline, alone));
+                }
+                if (!alone) {
+                    // Nothing happened; whoever waits is told so at the end of its patience.
+                    pause();
+                    return;
                 }
             } else {
                 batch.forEach(e -> e.done.got(outcome));
--- a/src/main/java/io/quincelead/state/StoreClient.java
+++ b/src/main/java/io/quincelead/state/StoreClient.java
@@ -32,7 +32,7 @@
         this.txnOps = settings.store().txnOps();
         this.requests = new RateBudget(loop, settings.store().rps() / settings.count() * 0.95, 0.9);
         double even = settings.store().writeRps() / settings.count();
-        this.writes = new RateBudget(loop, even * 0.95, 1.0).within(even * Constants.SHARE_LEAST, settings.store().writeRps() * Constants.SHARE_MOST);
+        this.writes = new RateBudget(loop, even * 0.95, Math.max(1, txnOps / even)).within(even * Constants.SHARE_LEAST, settings.store().writeRps() * Constants.SHARE_MOST);
         loop.every(Constants.SHARE_TICK_MS, this::share);
     }
 
@@ -88,16 +88,23 @@
         call("DELETE", "/holds/" + grant, null, Constants.STORE_TIMEOUT_MS, answer);
     }
 
-    /** ms until this controller may write that much; 0: now. */
-    public long waitMs(Txn txn) {
-        return waitMs(txn.writes());
+    /** ms until a comparison without changes may be sent; 0: now. */
+    public long waitMs() {
+        return requests.waitMs(1);
     }
 
-    /** ms until this controller may make that many changes; 0: now. */
-    public long waitMs(int changes) {
-        long ms = Math.max(requests.waitMs(1), writes.waitMs(changes));
-        waited |= ms > 0;
-        return ms;
+    /** How many changes this controller may make now; rounds and housekeeping keep within it. */
+    public int affordable() {
+        int n = requests.waitMs(1) > 0 ? 0 : (int) Math.floor(writes.available());
+        waited |= n < txnOps;
+        return n;
+    }
+
+    /** Whether what users wait for may be written: it goes ahead of all else, even into debt, which rounds then pay off. */
+    public boolean urgentAffordable() {
+        boolean yes = requests.waitMs(1) == 0 && writes.available() > -txnOps;
+        waited |= !yes;
+        return yes;
     }
 
     /**
@@ -137,7 +144,7 @@
                     if (status == 400) {
                         LOG.info("the store refused a transaction: {}", body);
                     }
-                    done.got(new Txn.Outcome(Txn.Result.REFUSED, generation, Set.of()));
+                    done.got(new Txn.Outcome(status == 429 ? Txn.Result.BUSY : Txn.Result.REFUSED, generation, Set.of()));
                 }
                 default -> done.got(new Txn.Outcome(Txn.Result.UNKNOWN, 0, Set.of()));
             }
--- a/src/main/java/io/quincelead/state/Txn.java
+++ b/src/main/java/io/quincelead/state/Txn.java
@@ -90,7 +90,9 @@
         DONE,
         /** A guard failed; nothing was applied. */
         CONFLICT,
-        /** Certainly not applied: over a limit, an outage, an expired hold. */
+        /** Certainly not applied: the store's limit of the moment is used up. */
+        BUSY,
+        /** Certainly not applied: an outage, an expired hold. */
         REFUSED,
         /** No answer: it may have been applied, or may still be. */
         UNKNOWN
