--- a/src/main/java/io/quincelead/placing/Preemption.java
+++ b/src/main/java/io/quincelead/placing/Preemption.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Set;
 
 /** Stops work that the protocol lets a job displace, as little and as cheap as will do. */
 final class Preemption {
@@ -18,23 +19,25 @@
     private final Settings settings;
     private final JobTable jobs;
     private final Plan plan;
+    private final Set<Job> guaranteed;
     /** What could be stopped at all, cheapest first: for those in a hurry, and for others. Read once a round. */
     private List<Placement> forHurry;
     private List<Placement> forOthers;
 
-    Preemption(Loop loop, Settings settings, JobTable jobs, Plan plan) {
+    Preemption(Loop loop, Settings settings, JobTable jobs, Plan plan, Set<Job> guaranteed) {
         this.loop = loop;
         this.settings = settings;
         this.jobs = jobs;
         this.plan = plan;
+        this.guaranteed = guaranteed;
     }
 
     void makeRoom(QueueOrder.Ranked ranked, int left) {
         Job job = ranked.job();
         JobSpec s = job.spec;
         int need = Math.min(left, plan.quota(s));
-        boolean guaranteed = ranked.withinGuarantee();
-        if (need <= 0 || s.urgency() == JobSpec.Urgency.BEST_EFFORT && !guaranteed) {
+        boolean within = ranked.withinGuarantee();
+        if (need <= 0 || s.urgency() == JobSpec.Urgency.BEST_EFFORT && !within) {
             return;
         }
         for (Room r : plan.rooms.values()) {
@@ -52,7 +55,7 @@
                 break;
             }
             Room r = plan.rooms.get(p.host);
-            if (!mayStop(job, p, guaranteed) || !r.allows(s)) {
+            if (!mayStop(job, p, within) || !r.allows(s)) {
                 continue;
             }
             Chunk.Edit e = plan.edit(p);
@@ -96,7 +99,7 @@
         return v.runtimeS() > 0 && ranS > 0 && v.runtimeS() - ranS < Constants.NEARLY_DONE_S && ranS < 2 * v.runtimeS();
     }
 
-    private boolean mayStop(Job forJob, Placement p, boolean guaranteed) {
+    private boolean mayStop(Job forJob, Placement p, boolean within) {
         JobSpec v = p.job.spec;
         if (p.job == forJob) {
             return false;
@@ -105,10 +108,11 @@
             return true;
         }
         // For a guarantee the protocol lets us stop work of any urgency. We stop only work that comes after this job in the
-        // queue: more urgent work would take the room back at once, and the two would displace each other without end.
+        // queue: more urgent work would take the room back at once, and the two would displace each other without end. For
+        // the same reason a job within its own team's guarantee is left alone, though that team runs more than that besides.
         Settings.Team team = settings.teams().get(v.owner());
         double[] use = plan.allUse.getOrDefault(v.owner(), new double[2]);
-        return guaranteed && v.urgency() == forJob.spec.urgency() && !v.owner().equals(forJob.spec.owner()) && team != null
+        return within && v.urgency() == forJob.spec.urgency() && !guaranteed.contains(p.job) && !v.owner().equals(forJob.spec.owner()) && team != null
                 && (use[0] - v.vcpus() >= team.cpus() || v.cards() > 0 && use[1] - v.cards() >= team.gpus());
     }
 
--- a/src/main/java/io/quincelead/placing/Rounds.java
+++ b/src/main/java/io/quincelead/placing/Rounds.java
@@ -332,7 +332,7 @@
         candidates.forEach(j -> queue.add(order.rank(j, guaranteed.contains(j), loop.wall())));
         queue.sort(QueueOrder.ORDER);
         Placer placer = new Placer(operator, machines, images, plan);
-        Preemption preemption = new Preemption(loop, settings, jobs, plan);
+        Preemption preemption = new Preemption(loop, settings, jobs, plan, guaranteed);
         Set<Job> stuck = new HashSet<>();
         for (QueueOrder.Ranked r : queue) {
             Job job = r.job();
