--- a/src/main/java/io/quincelead/app/Constants.java
+++ b/src/main/java/io/quincelead/app/Constants.java
@@ -172,6 +172,9 @@
     public static final double OPEN_WAITING_SHARE = 1.0;
     /** CPUs. With nothing waiting, no machine is rented for a smaller usual load than this. */
     public static final double CHEAP_LEAST_CPUS = 4;
+    /** CPUs. Up to this many in use, spare capacity is the operators' headroom of it; beyond, it grows with the root only, as
+     *  the ups and downs of many independent jobs do. */
+    public static final double HEADROOM_CPUS = 200;
     /** Machines closed or opened in one write. */
     public static final int CLOSE_WRITES = 4;
     /** Times its CPUs that must be spare before a machine is closed: keeps it from being opened again at once. */
--- a/src/main/java/io/quincelead/cloud/Demand.java
+++ b/src/main/java/io/quincelead/cloud/Demand.java
@@ -66,7 +66,8 @@
     record Need(double usualCpus, double urgentCpus, double inUse, double queueCpus, double waitingCpus) {
         /** What dear machines should be kept for: what is in use and what the queue needs in time. */
         double keepDear(double headroom) {
-            return Math.max(inUse * (1 + headroom), queueCpus);
+            double spare = headroom * Math.min(inUse, Math.sqrt(inUse * Constants.HEADROOM_CPUS));
+            return Math.max(inUse + spare, queueCpus);
         }
 
         /** What cheap machines should be kept for: the usual load too. */
@@ -149,6 +150,8 @@
     Need need(JobTable jobs, Capacity capacity, long wall) {
         Dues dues = new Dues();
         Map<String, Double> waiting = new HashMap<>();
+        Map<String, Double> used = new HashMap<>();
+        jobs.all().forEach(j -> used.merge(j.spec.owner(), j.heldCount() * j.spec.vcpus(), Double::sum));
         double inUse = 0;
         long now = loop.now();
         for (Job j : jobs.all()) {
@@ -171,7 +174,7 @@
                 continue;
             }
             double most = settings.teams().containsKey(s.owner()) ? settings.teams().get(s.owner()).cpusMax() : 0;
-            double cpus = Math.min(j.pendingCount() * s.vcpus(), Math.max(0, most * 3 - waiting.getOrDefault(s.owner(), 0.0)));
+            double cpus = Math.min(j.pendingCount() * s.vcpus(), Math.max(0, most - used.getOrDefault(s.owner(), 0.0) - waiting.getOrDefault(s.owner(), 0.0)));
             waiting.merge(s.owner(), cpus, Double::sum);
             double due = order.rank(j, true, wall).slackS() + run * Constants.ESTIMATE_DISTRUST;
             if (due < run) {
--- a/src/main/java/io/quincelead/cloud/Fleet.java
+++ b/src/main/java/io/quincelead/cloud/Fleet.java
@@ -595,12 +595,25 @@
         }
     }
 
+    /** About when the last task on the machine ends. */
+    private double emptyInS(MachineTable.Machine m) {
+        double last = 0;
+        for (Placement p : jobs.on(m.host()).values()) {
+            JobSpec s = p.job.spec;
+            double left = Math.max(s.runtimeS() - (loop.now() - p.since) / 1000.0, s.runtimeS() * 0.2);
+            last = Math.max(last, s.service() ? Double.MAX_VALUE : left);
+        }
+        return last;
+    }
+
     /**
      * The pass spreads tasks over all machines, so a dear machine beyond the need would never run empty: it is closed to
      * new tasks, and returned when its last one has ended. When the need comes back first, it is opened again.
      */
     private void closeSome(Leaving leaving) {
         double spare = capacity.upCpus() - need.keepDear(operator.headroom());
+        // Those that run empty soonest come first: a closed machine is paid for until its last task has ended.
+        up.sort(Comparator.comparing(MachineTable.Machine::spot).thenComparingDouble(this::emptyInS));
         for (MachineTable.Machine m : up) {
             double c = catalog.get(m.shape()).vcpus();
             if (leaving.txn.writes() >= Constants.CLOSE_WRITES) {
