Allowances paced; machines' addresses on record from the cloud's list; a stalled leader holds nobody back

And workers held by a controller cut from the store alone were never called away, as the new owner had no address to claim them at; 90 were given up as silent.

--- a/src/main/java/io/quincelead/app/Constants.java
+++ b/src/main/java/io/quincelead/app/Constants.java
@@ -86,6 +86,12 @@
     public static final double BALANCE_SHARE = 0.55;
     /** CPUs or GPUs. Smaller changes of an allowance aren't worth a write. */
     public static final double ALLOWANCE_STEP = 0.25;
+    /** ms. Allowances are looked at this often: each change rewrites blocks, and every round in flight fails on it. */
+    public static final long ALLOWANCES_EVERY_MS = 750;
+    /** Parts of a team's limit. A controller with this much left of its allowance isn't given a little more or less. */
+    public static final double ALLOWANCE_NEAR = 0.03;
+    /** ms. Less urgent work leaves room to the leader's more urgent work for this long; by then the leader would have used it. */
+    public static final long LEADER_FIRST_MS = 3_000;
     /** ms. Renting and returning are decided this often. */
     public static final long RENT_TICK_MS = 1_000;
     /** ms. Waiting work is looked at this often though nothing was heard. */
--- a/src/main/java/io/quincelead/cloud/Fleet.java
+++ b/src/main/java/io/quincelead/cloud/Fleet.java
@@ -230,6 +230,8 @@
                             h.path("preemptible").asBoolean(), loop.wall() - (long) (age * 1000)).returned());
                 } else if (m != null && failed && !m.returning()) {
                     giveBack(leaving, m, "failed");
+                } else if (m != null && m.addr() == null && h.hasNonNull("addr") && txn.fits(1, 1, store.txnOps())) {
+                    leaving.edits.put(m.at(h.path("addr").asText()));
                 }
             }
             if (!txn.isEmpty() && !writing) {
--- a/src/main/java/io/quincelead/leader/Leader.java
+++ b/src/main/java/io/quincelead/leader/Leader.java
@@ -52,6 +52,7 @@
     private Phase phase = Phase.FOLLOWING;
     private boolean busy;
     private boolean again;
+    private long allowancesAt;
 
     public Leader(Loop loop, Settings settings, Session session, Mirror mirror, StoreClient store, Blocks blocks, JobTable jobs,
             MachineTable machines, Catalog catalog) {
@@ -173,7 +174,10 @@
             }
         }
         boolean terms = grant(next, changed, txn) | balance(next, changed);
-        allowances(next, changed);
+        if (loop.now() - allowancesAt >= Constants.ALLOWANCES_EVERY_MS || !changed.isEmpty()) {
+            allowancesAt = loop.now();
+            allowances(next, changed);
+        }
         if (!changed.isEmpty()) {
             if (terms) {
                 txn.guard(Keys.TERM, mirror.stamp(Keys.TERM)).put(Keys.TERM, Codec.map().put("n", blocks.term() + 1));
@@ -383,6 +387,7 @@
         double[] now = new double[n];
         double[] use = new double[n];
         double[][] want = new double[n][];
+        double[] wants = new double[n];
         double used = dead;
         double committed = dead;
         boolean unmet = false;
@@ -395,10 +400,10 @@
             now[i] = cpus ? a.cpus() : a.gpus();
             use[i] = cpus ? d.useCpu : d.useGpu;
             want[i] = cpus ? d.wantCpu : d.wantGpu;
-            double wants = Arrays.stream(want[i]).sum();
+            wants[i] = Arrays.stream(want[i]).sum();
             used += use[i];
             committed += Math.max(now[i], use[i]);
-            unmet |= wants > 0 && now[i] - use[i] < wants - 1e-9;
+            unmet |= wants[i] > 0 && now[i] - use[i] < wants[i] - 1e-9;
             i++;
         }
         double rest = Math.max(0, limit - used);
@@ -431,7 +436,8 @@
             // Records may show ends late and so, for a while, more use than there is; nobody's allowance rises by that.
             double held = committed > limit + 1e-6 ? now[i] : Math.max(now[i], use[i]);
             out[i] = target[i] <= held ? target[i] : held + (growth <= 0 ? 0 : (target[i] - held) * Math.min(1, free / growth));
-            if (Math.abs(out[i] - now[i]) < Constants.ALLOWANCE_STEP && now[i] > 0) {
+            boolean enough = wants[i] <= 0 || now[i] - use[i] > Constants.ALLOWANCE_NEAR * limit;
+            if (now[i] > 0 && Math.abs(out[i] - now[i]) < Math.max(Constants.ALLOWANCE_STEP, enough ? Constants.ALLOWANCE_NEAR * limit : 0)) {
                 out[i] = Math.min(now[i], Math.max(out[i], now[i]));
             }
         }
--- a/src/main/java/io/quincelead/placing/Rounds.java
+++ b/src/main/java/io/quincelead/placing/Rounds.java
@@ -70,6 +70,9 @@
     /** Since when a job has found no room in this block. */
     private final Map<Job, Long> stuckSince = new HashMap<>();
 
+    /** Since when there has been room here for a job that waits at the leader. */
+    private final Map<Job, Long> leaderSince = new HashMap<>();
+
     private record Ref(Job job, int chunk) { }
 
     public Rounds(Loop loop, Settings settings, OperatorSettings operator, Session session, Mirror mirror, StoreClient store,
@@ -318,7 +321,6 @@
         // Room that comes free here belongs to more urgent work that the leader is waiting to place, if its team may use more.
         Blocks.Block chiefBlock = chief == null ? null : blocks.of(chief);
         chiefWaits.removeIf(j -> chiefBlock == null || Plan.quota(chiefBlock, chiefUse, j.spec) < (j.spec.gang() ? j.pendingCount() : 1));
-        int ahead = chiefWaits.stream().mapToInt(j -> j.spec.urgency().ordinal()).min().orElse(Integer.MAX_VALUE);
         leaderWaits = !chiefWaits.isEmpty();
         waiting = !candidates.isEmpty();
         gangChanges = candidates.stream().filter(j -> j.spec.gang()).mapToInt(j -> j.chunks.length).max().orElse(0);
@@ -327,6 +329,7 @@
             return;
         }
         readRooms(plan);
+        int ahead = ahead(plan, chiefWaits);
         Set<Job> guaranteed = order.guaranteed(jobs.all());
         List<QueueOrder.Ranked> queue = new ArrayList<>();
         candidates.forEach(j -> queue.add(order.rank(j, guaranteed.contains(j), loop.wall())));
@@ -350,6 +353,24 @@
         stuckSince.keySet().retainAll(stuck);
     }
 
+    /**
+     * The urgency of the leader's work that room here is left to. A leader that hasn't used the room in this time can't;
+     * waiting on would idle the block.
+     */
+    private int ahead(Plan plan, List<Job> chiefWaits) {
+        leaderSince.keySet().retainAll(chiefWaits);
+        int ahead = Integer.MAX_VALUE;
+        for (Job j : chiefWaits) {
+            if (plan.open.stream().noneMatch(r -> r.allows(j.spec) && r.cap(j.spec) > 0)) {
+                leaderSince.remove(j);
+            } else if (loop.now() - leaderSince.computeIfAbsent(j, x -> loop.now()) > Constants.LEADER_FIRST_MS) {
+                continue;
+            }
+            ahead = Math.min(ahead, j.spec.urgency().ordinal());
+        }
+        return ahead;
+    }
+
     /**
      * Whether a job that found no room here should go to the leader: one whose kind of machine this block hasn't got, at
      * once; any other one when it has waited here for a while and others have room that this block lacks. Without the second
--- a/src/main/java/io/quincelead/workers/Desk.java
+++ b/src/main/java/io/quincelead/workers/Desk.java
@@ -187,6 +187,9 @@
         for (Map.Entry<String, Long> e : terms.entrySet()) {
             if (!mine.containsKey(e.getKey())) {
                 Own o = new Own(e.getKey(), e.getValue(), mirror.stamp(block.key()));
+                MachineTable.Machine m = machines.get(o.host);
+                // A worker may be held by a controller that is cut off from the store alone: only a claim calls it away.
+                o.addr = m == null ? null : m.addr();
                 jobs.on(o.host).values().forEach(Placement::handedOver);
                 mine.put(o.host, o);
                 loop.after(0, () -> claim(o));
--- a/src/main/java/io/quincelead/workers/MachineTable.java
+++ b/src/main/java/io/quincelead/workers/MachineTable.java
@@ -22,21 +22,26 @@
  */
 public final class MachineTable {
     /**
-     * A machine. {@code returning} is recorded before the release is asked for, so a successor asks again. A
+     * A machine. {@code addr} is null until the cloud's list has shown it: whoever takes the machine over can then show its
+     * worker the new term at once. {@code returning} is recorded before the release is asked for, so a successor asks again. A
      * {@code closed} one gets no new tasks.
      */
-    public record Machine(String host, String group, String shape, String site, boolean spot, long rentedAt, boolean returning, boolean closed) {
+    public record Machine(String host, String group, String shape, String site, boolean spot, String addr, long rentedAt, boolean returning, boolean closed) {
         /** A machine just rented. */
         public Machine(String host, String group, String shape, String site, boolean spot, long rentedAt) {
-            this(host, group, shape, site, spot, rentedAt, false, false);
+            this(host, group, shape, site, spot, null, rentedAt, false, false);
         }
 
         public Machine returned() {
-            return new Machine(host, group, shape, site, spot, rentedAt, true, closed);
+            return new Machine(host, group, shape, site, spot, addr, rentedAt, true, closed);
         }
 
         public Machine closed(boolean yes) {
-            return new Machine(host, group, shape, site, spot, rentedAt, returning, yes);
+            return new Machine(host, group, shape, site, spot, addr, rentedAt, returning, yes);
+        }
+
+        public Machine at(String address) {
+            return new Machine(host, group, shape, site, spot, address, rentedAt, returning, closed);
         }
 
         /** The record it shares. */
@@ -70,7 +75,7 @@
         forget(group, new HashSet<>(hosts));
         for (String h : hosts) {
             machines.put(h, new Machine(h, group, v.path("k").asText(), v.path("s").asText(), v.path("p").asBoolean(),
-                    v.path("r").asLong(), returning.contains(h), closed.contains(h)));
+                    v.path("a").path(h).isTextual() ? v.path("a").path(h).asText() : null, v.path("r").asLong(), returning.contains(h), closed.contains(h)));
         }
         groups.put(group, hosts);
     }
@@ -141,6 +146,7 @@
             ArrayNode hosts = n.putArray("h");
             ArrayNode returning = Codec.list();
             ArrayNode closed = Codec.list();
+            ObjectNode addresses = Codec.map();
             for (Machine m : members.values()) {
                 hosts.add(m.host());
                 if (m.returning()) {
@@ -149,6 +155,12 @@
                 if (m.closed()) {
                     closed.add(m.host());
                 }
+                if (m.addr() != null) {
+                    addresses.put(m.host(), m.addr());
+                }
+            }
+            if (!addresses.isEmpty()) {
+                n.set("a", addresses);
             }
             if (!returning.isEmpty()) {
                 n.set("x", returning);
