--- a/src/main/java/io/quincelead/app/Constants.java
+++ b/src/main/java/io/quincelead/app/Constants.java
@@ -181,8 +181,8 @@
     /** CPUs. Up to this many in use, spare capacity is the operators' headroom of it; beyond, it grows with the root only, as
      *  the ups and downs of many independent jobs do. */
     public static final double HEADROOM_CPUS = 200;
-    /** Machines closed or opened in one write. */
-    public static final int CLOSE_WRITES = 4;
+    /** Records of machines closed or opened in one write, if the store's share of the moment allows it. */
+    public static final int CLOSE_WRITES = 10;
     /** Times its CPUs that must be spare before a machine is closed: keeps it from being opened again at once. */
     public static final double CLOSE_MARGIN = 1.3;
     /** CPUs. A dear machine of this size is counted at twice its price, for the time it takes to run empty. */
@@ -211,6 +211,10 @@
     // ---- placing
     /** Times. Estimates are often wrong by half: a job is ranked as if it took this many times as long. */
     public static final double ESTIMATE_DISTRUST = 1.3;
+    /** s. Low work counts as normal when it has this long until it would miss an objective of its class. */
+    public static final double AGED_SLACK_S = 60;
+    /** ms. Aged work that got a place keeps it for this long, for a start counts only if it lasts 30 s. */
+    public static final long AGED_KEEPS_MS = 32_000;
     /** s added to twice the estimate as the due time of a job for which nobody states one. */
     public static final double UNSTATED_DUE_S = 300;
     /** s. A task expected to end within this time is not stopped for another: its room comes by itself. */
--- a/src/main/java/io/quincelead/cloud/Fleet.java
+++ b/src/main/java/io/quincelead/cloud/Fleet.java
@@ -618,7 +618,7 @@
         up.sort(Comparator.comparing(MachineTable.Machine::spot).thenComparingDouble(this::emptyInS));
         for (MachineTable.Machine m : up) {
             double c = catalog.get(m.shape()).vcpus();
-            if (leaving.txn.writes() >= Constants.CLOSE_WRITES) {
+            if (leaving.txn.writes() >= Math.min(Constants.CLOSE_WRITES, Math.max(2, store.affordable()))) {
                 break;
             }
             if (m.closed() && need.urgentCpus() > 0.5) {
