--- a/src/main/java/io/quincelead/app/Constants.java
+++ b/src/main/java/io/quincelead/app/Constants.java
@@ -211,10 +211,6 @@
     // ---- placing
     /** Times. Estimates are often wrong by half: a job is ranked as if it took this many times as long. */
     public static final double ESTIMATE_DISTRUST = 1.3;
-    /** s. Low work counts as normal when it has this long until it would miss an objective of its class. */
-    public static final double AGED_SLACK_S = 60;
-    /** ms. Aged work that got a place keeps it for this long, for a start counts only if it lasts 30 s. */
-    public static final long AGED_KEEPS_MS = 32_000;
     /** s added to twice the estimate as the due time of a job for which nobody states one. */
     public static final double UNSTATED_DUE_S = 300;
     /** s. A task expected to end within this time is not stopped for another: its room comes by itself. */
--- a/src/main/java/io/quincelead/placing/Preemption.java
+++ b/src/main/java/io/quincelead/placing/Preemption.java
@@ -105,8 +105,7 @@
             return false;
         }
         if (v.urgency().ordinal() > forJob.spec.urgency().ordinal()) {
-            // Normal work leaves low work alone that has only just got its place: it may have had to age for it.
-            return forJob.spec.urgency() != JobSpec.Urgency.NORMAL || loop.now() - p.since > Constants.AGED_KEEPS_MS;
+            return true;
         }
         // For a guarantee the protocol lets us stop work of any urgency. We stop only work that comes after this job in the
         // queue: more urgent work would take the room back at once, and the two would displace each other without end. For
--- a/src/main/java/io/quincelead/placing/QueueOrder.java
+++ b/src/main/java/io/quincelead/placing/QueueOrder.java
@@ -3,7 +3,6 @@
 import io.quincelead.app.Constants;
 import io.quincelead.app.Settings;
 import io.quincelead.jobs.Job;
-import io.quincelead.jobs.JobSpec;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -13,24 +12,21 @@
 import java.util.Map;
 import java.util.Set;
 
-/**
- * Who comes first: urgency, then teams within their guarantee, then nearness to the deadline or objective. Low work that
- * would soon miss what its class is expected to reach counts as normal work: on a full cluster it would else wait for ever.
- */
+/** Who comes first: urgency, then teams within their guarantee, then nearness to the deadline or objective. */
 public final class QueueOrder {
-    private final Map<String, List<Settings.Objective>> objectives = new HashMap<>();
+    private final Map<String, Double> withinS = new HashMap<>();
     private final Map<String, Settings.Team> teams;
 
     public QueueOrder(Settings settings) {
         teams = settings.teams();
         for (Settings.Objective o : settings.objectives()) {
-            if (!o.jobClass().isEmpty()) {
-                objectives.computeIfAbsent(o.jobClass(), c -> new ArrayList<>()).add(o);
+            if (!o.jobClass().isEmpty() && o.withinS() > 0) {
+                withinS.merge(o.jobClass(), o.withinS(), Math::min);
             }
         }
     }
 
-    /** A job and what its place in the queue depends on; the urgency is the one it counts as having. */
+    /** A job and what its place in the queue depends on. */
     public record Ranked(Job job, int urgency, boolean withinGuarantee, boolean hopeless, double slackS) { }
 
     public static final Comparator<Ranked> ORDER = Comparator.comparingInt(Ranked::urgency)
@@ -61,40 +57,9 @@
 
     public Ranked rank(Job job, boolean withinGuarantee, long wallNow) {
         double age = (wallNow - job.acceptedAt) / 1000.0;
-        double run = job.spec.runtimeS() * Constants.ESTIMATE_DISTRUST;
-        double next = Double.MAX_VALUE;
-        double last = -Double.MAX_VALUE;
-        boolean stated = false;
-        if (job.spec.dueS() >= 0) {
-            stated = true;
-            last = job.spec.dueS() - age - run;
-            next = last >= 0 ? last : next;
-        }
-        for (Settings.Objective o : objectives.getOrDefault(job.spec.jobClass(), List.of())) {
-            double by = switch (o.kind()) {
-                case "wait" -> o.withinS();
-                case "finished" -> o.withinS() - run;
-                case "deadline" -> job.spec.dueS() < 0 ? -1 : job.spec.dueS() * Math.max(1, o.times()) - run;
-                default -> -1;
-            };
-            if (by > 0) {
-                stated = true;
-                last = Math.max(last, by - age);
-                next = by >= age ? Math.min(next, by - age) : next;
-            }
-        }
-        if (!stated) {
-            last = 2 * job.spec.runtimeS() + Constants.UNSTATED_DUE_S - age - run;
-            next = last >= 0 ? last : next;
-        }
-        // What can't be reached any more no longer hurries a job; the next objective does, and after the last one, none.
-        double slack = next < Double.MAX_VALUE ? next : last;
-        boolean hopeless = slack < -job.spec.runtimeS();
-        return new Ranked(job, counts(job.spec.urgency(), slack), withinGuarantee, hopeless, slack);
-    }
-
-    private static int counts(JobSpec.Urgency stated, double slack) {
-        boolean ages = stated == JobSpec.Urgency.BEST_EFFORT && slack >= 0 && slack < Constants.AGED_SLACK_S;
-        return (ages ? JobSpec.Urgency.NORMAL : stated).ordinal();
+        double run = job.spec.runtimeS();
+        double due = job.spec.dueS() >= 0 ? job.spec.dueS() : withinS.getOrDefault(job.spec.jobClass(), 2 * run + Constants.UNSTATED_DUE_S);
+        double slack = due - age - run * Constants.ESTIMATE_DISTRUST;
+        return new Ranked(job, job.spec.urgency().ordinal(), withinGuarantee, slack < -run, slack);
     }
 }
