--- a/src/main/java/io/quincelead/jobs/Chunk.java
+++ b/src/main/java/io/quincelead/jobs/Chunk.java
@@ -70,9 +70,18 @@
         int first = number * Constants.CHUNK_TASKS;
         for (int i = 0; i + 3 < p.size(); i += 4) {
             int index = first + p.get(i).asInt();
-            Placement next = new Placement(job, index, p.get(i + 1).asText(), p.get(i + 2).asLong(), p.get(i + 3).asInt() == 1, now);
+            String host = p.get(i + 1).asText();
+            long attempt = p.get(i + 2).asLong();
+            boolean stop = p.get(i + 3).asInt() == 1;
             Placement old = before == null ? null : before.placed.get(index);
-            if (old != null && old.same(index, next.host, next.attempt)) {
+            boolean same = old != null && old.same(index, host, attempt);
+            if (same && old.stop == stop) {
+                // Most of a chunk is as before: nothing to make, nothing to index.
+                placed.put(index, old);
+                continue;
+            }
+            Placement next = new Placement(job, index, host, attempt, stop, now);
+            if (same) {
                 next.inherit(old);
             }
             placed.put(index, next);
--- a/src/main/java/io/quincelead/jobs/JobTable.java
+++ b/src/main/java/io/quincelead/jobs/JobTable.java
@@ -147,6 +147,9 @@
         Chunk next = value == null ? null : Chunk.decode(job, number, value, before, loop.now());
         if (before != null) {
             for (Placement p : before.placed.values()) {
+                if (next != null && next.placed.get(p.index) == p) {
+                    continue;
+                }
                 unindex(p);
                 if (next == null || !next.placed.containsKey(p.index)) {
                     onTouched.accept(p.host);
@@ -157,6 +160,9 @@
         if (next != null) {
             for (Placement p : next.placed.values()) {
                 Placement old = before == null ? null : before.placed.get(p.index);
+                if (old == p) {
+                    continue;
+                }
                 boolean same = old != null && old.same(p.index, p.host, p.attempt);
                 if (!same) {
                     onPlaced.accept(p);
--- a/src/main/java/io/quincelead/workers/Desk.java
+++ b/src/main/java/io/quincelead/workers/Desk.java
@@ -54,6 +54,9 @@
         boolean roundPending();
     }
 
+    /** Since when a machine has been reporting here though it is granted elsewhere under this term. */
+    private record Astray(long term, long since) { }
+
     /** States of a machine of our block; {@link Own#become} is the one function that changes them. */
     public enum Phase {
         /** Granted; no message bearing our term has come from it. Nothing may be concluded or started. */
@@ -137,7 +140,7 @@
     private final Office office;
     private final long silentMs;
     private final Map<String, Own> mine = new LinkedHashMap<>();
-    private final Map<String, Long> strays = new HashMap<>();
+    private final Map<String, Astray> strays = new HashMap<>();
     /** Machines whose records changed since the last look. */
     private final Set<String> touched = new HashSet<>();
     /** Machines whose report's answer waits for the round that is due. */
@@ -275,8 +278,12 @@
         }
         long now = loop.now();
         String owner = blocks.owner(host);
-        long since = strays.computeIfAbsent(host, h -> now);
-        if (owner == null || now - since > Constants.STRAY_MS) {
+        Long granted = owner == null ? null : blocks.of(owner).machines().get(host);
+        long term = granted == null ? 0 : granted;
+        // Counted anew for each grant: a worker on its way to a new owner would else be moved back before it gets there, and
+        // two controllers could pass a machine to each other for ever.
+        Astray a = strays.merge(host, new Astray(term, now), (old, fresh) -> old.term == term ? old : fresh);
+        if (owner == null || now - a.since > Constants.STRAY_MS) {
             office.stray(new Stray(host, body.path("addr").asText(), body.path("shape").asText(), body.path("site").asText(),
                     body.path("preemptible").asBoolean(), settings.member(), owner != null));
             if (owner == null && settings.member().equals(blocks.leader())) {
@@ -582,7 +589,7 @@
 
     private void tick() {
         long now = loop.now();
-        strays.values().removeIf(since -> now - since > 20 * Constants.STRAY_MS);
+        strays.values().removeIf(a -> now - a.since > 20 * Constants.STRAY_MS);
         if (!session.valid() || blocks.mine() == null) {
             return;
         }
