--- a/src/main/java/io/quincelead/jobs/UserApi.java
+++ b/src/main/java/io/quincelead/jobs/UserApi.java
@@ -10,7 +10,6 @@
 import io.quincelead.leader.Blocks;
 import io.quincelead.net.Codec;
 import io.quincelead.net.Request;
-import io.quincelead.net.Transport;
 import io.quincelead.state.Committer;
 import io.quincelead.state.Keys;
 import io.quincelead.state.Mirror;
--- a/src/main/java/io/quincelead/placing/Rounds.java
+++ b/src/main/java/io/quincelead/placing/Rounds.java
@@ -17,7 +17,6 @@
 import io.quincelead.state.Mirror;
 import io.quincelead.state.Session;
 import io.quincelead.state.StoreClient;
-import io.quincelead.state.Txn;
 import io.quincelead.workers.Desk;
 import io.quincelead.workers.ImageCaches;
 import io.quincelead.workers.MachineTable;
