--- /dev/null
+++ b/src/test/java/io/quincelead/placing/PreemptionTest.java
@@ -0,0 +1,92 @@
+package io.quincelead.placing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quincelead.app.Loop;
+import io.quincelead.app.Settings;
+import io.quincelead.cloud.Catalog;
+import io.quincelead.jobs.JobSpec;
+import io.quincelead.jobs.JobTable;
+import io.quincelead.jobs.Placement;
+import io.quincelead.leader.Blocks;
+import io.quincelead.net.Codec;
+import io.quincelead.state.Mirror;
+import io.quincelead.state.StoreClient;
+import io.quincelead.state.Txn;
+import io.quincelead.workers.MachineTable;
+import io.quincelead.world.Jobs;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class PreemptionTest {
+    /** A clock that moves on at each look, as it does while a slow controller computes. */
+    private static final class BusyLoop implements Loop {
+        private long at = 100_000;
+
+        @Override public long now() {
+            return at++;
+        }
+
+        @Override public long wall() {
+            return at;
+        }
+
+        @Override public void after(long ms, Runnable task) { }
+    }
+
+    private final Loop loop = new BusyLoop();
+    private final Settings.Team team = new Settings.Team("red", 1_000, 1_000, 0, 0);
+    private final Settings settings = new Settings("w", "a", "10.0.0.1:1", "10.0.0.1:2", Map.of(), "10.2.0.2:1", "10.2.0.1:1", 1, 25,
+            Map.of("red", team), List.of(), new Settings.Workers(1, 10, 45, 6, 40), new Settings.State(100, 100, 8, 12),
+            new Settings.Cloud(2, 4), new Settings.Limits(1, 256, 100));
+    private final Mirror mirror = new Mirror(loop, new StoreClient(loop, (address, method, path, codec, body, ms, reply) -> { }, settings), 100);
+    private final JobTable jobs = new JobTable(loop, mirror);
+
+    private void record(JobSpec s, String host) {
+        ObjectNode job = Codec.map().put("c", "w").put("at", 1);
+        job.set("s", s.encode());
+        mirror.applied(new Txn().put("a/j/" + s.id(), job), 1);
+        for (int k = 0; host != null && k * 200 < s.members(); k++) {
+            ObjectNode chunk = Codec.map().put("t", 1);
+            chunk.putArray("d");
+            ArrayNode placed = chunk.putArray("p");
+            for (int i = 0; i < Math.min(200, s.members() - k * 200); i++) {
+                placed.add(i).add(host).add(1).add(0);
+            }
+            mirror.applied(new Txn().put("a/t/" + s.id() + "/" + String.format("%04d", k), chunk), 1);
+        }
+    }
+
+    /** Victims were once sorted by a loss read from the clock at each comparison: the sort failed and ended all rounds. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void victimsAreFoundThoughTimePassesWhileTheyAreSorted(long seed) {
+        record(Jobs.array(1, "red", JobSpec.Urgency.BEST_EFFORT, 600, 1, 1e6), "i-1");
+        record(Jobs.array(2, "red", JobSpec.Urgency.HIGH, 100, 1, 10), null);
+        SplittableRandom random = new SplittableRandom(seed);
+        for (Placement p : jobs.on("i-1").values()) {
+            p.runningSince = 50_000 + random.nextInt(4);
+        }
+        Plan plan = new Plan(new Blocks.Block("w", new HashMap<>(), Map.of("red", new Blocks.Amount(1_000, 0))), true, 1, 12, 12);
+        Room room = new Room(new MachineTable.Machine("i-1", "r", "big", "a", false, 0),
+                new Catalog.Shape("big", 600, 0, 2_000, 50, 1, 1, 1, 10, List.of("a")), true);
+        jobs.on("i-1").values().forEach(p -> room.take(p.job.spec, 1, false));
+        plan.rooms.put("i-1", room);
+        new Preemption(loop, settings, jobs, plan, Set.of())
+                .makeRoom(new QueueOrder.Ranked(jobs.get("wk-000002"), JobSpec.Urgency.HIGH.ordinal(), false, false, 0), 100);
+        long stopped = 0;
+        for (int k = 0; k < 3; k++) {
+            for (int i = k * 200; i < k * 200 + 200; i++) {
+                stopped += plan.edits.containsKey(jobs.get("wk-000001").chunk(k)) && !plan.edits.get(jobs.get("wk-000001").chunk(k)).running(i) ? 1 : 0;
+            }
+        }
+        assertEquals(100, stopped);
+    }
+}
