--- a/src/main/java/io/quincelead/jobs/JobTable.java
+++ b/src/main/java/io/quincelead/jobs/JobTable.java
@@ -5,10 +5,12 @@
 import io.quincelead.app.Loop;
 import io.quincelead.state.Keys;
 import io.quincelead.state.Mirror;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -20,7 +22,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(JobTable.class);
     private final Loop loop;
     private final Map<String, Job> jobs = new LinkedHashMap<>();
-    private final Map<String, Map<String, Placement>> byHost = new HashMap<>();
+    private final Map<String, HostLoad> byHost = new HashMap<>();
+    /** The same jobs, the longest accepted first. */
+    private final List<Job> byAge = new ArrayList<>();
     private final Set<String> orphans = new LinkedHashSet<>();
     private long openTasks;
     private Consumer<Placement> onPlaced = p -> { };
@@ -72,6 +76,15 @@
         return jobs.values();
     }
 
+    /** All jobs, the longest accepted first. */
+    public List<Job> byAge() {
+        return byAge;
+    }
+
+    private static int older(Job a, Job b) {
+        return a.acceptedAt != b.acceptedAt ? Long.compare(a.acceptedAt, b.acceptedAt) : a.spec.id().compareTo(b.spec.id());
+    }
+
     public long openTasks() {
         return openTasks;
     }
@@ -83,7 +96,13 @@
 
     /** Where tasks may be on a machine, by task name. */
     public Map<String, Placement> on(String host) {
-        return byHost.getOrDefault(host, Map.of());
+        HostLoad load = byHost.get(host);
+        return load == null ? Map.of() : load.tasks;
+    }
+
+    /** What those tasks use; null if there are none. */
+    public HostLoad load(String host) {
+        return byHost.get(host);
     }
 
     private void putJob(String key, JsonNode value) {
@@ -99,6 +118,11 @@
             jobs.put(id, job);
             openTasks += job.spec.members();
             job.read(value);
+            int at = byAge.size();
+            while (at > 0 && older(job, byAge.get(at - 1)) < 0) {
+                at--;
+            }
+            byAge.add(at, job);
             onJob.accept(job);
         }
         boolean wasCancelled = job.cancelled();
@@ -109,7 +133,10 @@
         if (job.cancelled() && !wasCancelled) {
             for (Chunk c : job.chunks) {
                 if (c != null) {
-                    c.placed.values().forEach(p -> onTouched.accept(p.host));
+                    for (Placement p : c.placed.values()) {
+                        p.load.touch();
+                        onTouched.accept(p.host);
+                    }
                 }
             }
         }
@@ -121,6 +148,7 @@
             return;
         }
         openTasks -= job.spec.members();
+        byAge.remove(job);
         for (Chunk c : job.chunks) {
             if (c != null) {
                 if (!job.single()) {
@@ -187,18 +215,22 @@
                 if (!same || old.stop != p.stop) {
                     onTouched.accept(p.host);
                 }
-                byHost.computeIfAbsent(p.host, h -> new LinkedHashMap<>()).put(p.name(), p);
+                p.load = byHost.computeIfAbsent(p.host, h -> new HostLoad());
+                p.load.tasks.put(p.name(), p);
+                p.load.touch();
             }
         }
     }
 
     private void unindex(Placement p) {
-        Map<String, Placement> on = byHost.get(p.host);
-        if (on != null) {
-            on.remove(p.name());
-            if (on.isEmpty()) {
+        HostLoad load = byHost.get(p.host);
+        if (load != null) {
+            load.tasks.remove(p.name());
+            load.touch();
+            if (load.tasks.isEmpty()) {
                 byHost.remove(p.host);
             }
         }
+        p.load = null;
     }
 }
--- a/src/main/java/io/quincelead/jobs/Placement.java
+++ b/src/main/java/io/quincelead/jobs/Placement.java
@@ -27,6 +27,7 @@
     }
 
     private Phase phase = Phase.RECORDED;
+    private String name;
     /** Report (tenure, serial) whose response carried the start. */
     public long sentTenure;
     public long sentSerial;
@@ -38,6 +39,8 @@
     public long killedAt;
     /** Loop time at which this process first saw the record. */
     public long since;
+    /** The machine's load while this record is the one that counts there. */
+    HostLoad load;
 
     public Placement(Job job, int index, String host, long attempt, boolean stop, long since) {
         this.job = job;
@@ -58,6 +61,7 @@
             job.count(this, -1);
             phase = next;
             job.count(this, 1);
+            touch();
         }
     }
 
@@ -69,10 +73,17 @@
         job.count(this, -1);
         phase = Phase.RECORDED;
         job.count(this, 1);
+        touch();
         reported = "";
         runningSince = 0;
     }
 
+    private void touch() {
+        if (load != null) {
+            load.touch();
+        }
+    }
+
     public boolean over() {
         return phase == Phase.DONE || phase == Phase.GONE;
     }
@@ -93,7 +104,11 @@
         since = old.since;
     }
 
+    /** The task's name, as workers know it. */
     public String name() {
-        return job.spec.id() + "/" + index;
+        if (name == null) {
+            name = job.spec.id() + "/" + index;
+        }
+        return name;
     }
 }
--- a/src/main/java/io/quincelead/placing/Placer.java
+++ b/src/main/java/io/quincelead/placing/Placer.java
@@ -22,6 +22,9 @@
     private final ImageCaches images;
     private final Plan plan;
     private boolean lastResort;
+    /** Demands that no machine had any room for: on those that suit, and as a last resort on all that are allowed. */
+    private final Unmet unmet = new Unmet();
+    private final Unmet unmetAnywhere = new Unmet();
 
     Placer(OperatorSettings operator, MachineTable machines, ImageCaches images, Plan plan) {
         this.operator = operator;
@@ -45,7 +48,7 @@
             // What urgent work will need before long is left free: displacing low work costs it its run, and the store changes.
             tasks = Math.min(tasks, Tebas.remainCap(plan.freeCpus() - plan.reserve, Double.MAX_VALUE, 0, s.vcpus(), 0, 0));
         }
-        if (tasks <= 0 || plan.open.isEmpty() || s.gang() && tasks < wanted) {
+        if (tasks <= 0 || s.gang() && tasks < wanted || (anywhere ? unmetAnywhere : unmet).covers(s)) {
             return wanted;
         }
         if (s.gang() && job.chunks.length > plan.changes - plan.edits.size()) {
@@ -70,16 +73,9 @@
     /** Runs the pass over the block's machines (or, for the leader, all machines) within the job's zone rules. */
     private int assign(Job job, int tasks, boolean blockOnly, Map<String, Integer> spread) {
         JobSpec s = job.spec;
-        Map<String, List<Tebas.Seat>> byZone = new LinkedHashMap<>();
-        for (Room r : plan.open) {
-            if (blockOnly && !r.inBlock || !(lastResort ? r.allows(s) : r.suits(s))) {
-                continue;
-            }
-            int cap = r.cap(s) - spread.getOrDefault(r.host, 0);
-            if (cap > 0) {
-                double fitness = Tebas.fitness(operator.alpha(), s.vcpus(), frequency(s, r));
-                byZone.computeIfAbsent(r.site, z -> new ArrayList<>()).add(new Tebas.Seat(r.host, fitness, cap, cap));
-            }
+        Map<String, List<Tebas.Seat>> byZone = seats(s, blockOnly, spread);
+        if (byZone.isEmpty() && spread.isEmpty() && (!blockOnly || !plan.leading)) {
+            (lastResort ? unmetAnywhere : unmet).add(s);
         }
         if (!s.oneZone() && !s.scatter()) {
             List<Tebas.Seat> all = new ArrayList<>();
@@ -89,7 +85,7 @@
             return left;
         }
         Map<String, Integer> perZone = zonesOf(job);
-        spread.forEach((host, n) -> perZone.merge(plan.rooms.get(host).site, n, Integer::sum));
+        spread.forEach((host, n) -> perZone.merge(plan.rooms.get(host).kind.site, n, Integer::sum));
         List<String> zones = new ArrayList<>(byZone.keySet());
         zones.sort(Comparator.comparingInt((String z) -> -byZone.get(z).stream().mapToInt(x -> x.remainCap).sum()).thenComparing(z -> z));
         int half = (s.members() + 1) / 2;
@@ -113,13 +109,33 @@
         return left;
     }
 
+    /** The machines with room for a task of the job, by zone. */
+    private Map<String, List<Tebas.Seat>> seats(JobSpec s, boolean blockOnly, Map<String, Integer> spread) {
+        Map<String, List<Tebas.Seat>> byZone = new LinkedHashMap<>();
+        for (Room.Kind kind : plan.kinds.values()) {
+            if (!(lastResort ? kind.allows(s) : kind.suits(s))) {
+                continue;
+            }
+            List<Tebas.Seat> seats = null;
+            for (Room r : kind.rooms) {
+                int cap = blockOnly && !r.inBlock || !r.open() ? 0 : r.cap(s) - (spread.isEmpty() ? 0 : spread.getOrDefault(r.host, 0));
+                if (cap > 0) {
+                    double fitness = Tebas.fitness(operator.alpha(), s.vcpus(), frequency(s, r));
+                    seats = seats == null ? byZone.computeIfAbsent(kind.site, z -> new ArrayList<>()) : seats;
+                    seats.add(new Tebas.Seat(r.host, fitness, cap, cap));
+                }
+            }
+        }
+        return byZone;
+    }
+
     /**
      * The machine's frequency as this task gets to feel it: while its image is fetched, nothing runs. Where fetches take
      * as long as the tasks themselves, the paper's gain of a machine is mostly a matter of who has the image.
      */
     private double frequency(JobSpec s, Room r) {
-        double clock = operator.frequency().getOrDefault(r.shape.label(), 1.0);
-        double fetchS = images.has(r.host, s.container()) ? 0 : s.sizeGb() / Math.max(r.shape.pullGbPerS(), 0.01);
+        double clock = operator.frequency().getOrDefault(r.kind.shape.label(), 1.0);
+        double fetchS = images.has(r.host, s.container()) ? 0 : s.sizeGb() / Math.max(r.kind.shape.pullGbPerS(), 0.01);
         double runS = s.service() ? Constants.SERVICE_RANK_S : Math.max(s.runtimeS(), 1);
         // Where workers report seldom, whose answer is still open matters as well to work that should start at once.
         double waitS = s.urgency().ordinal() <= JobSpec.Urgency.HIGH.ordinal() ? r.reachS : 0;
@@ -181,14 +197,13 @@
                 if (e.placeable(i)) {
                     Room r = plan.rooms.get(places.get(next));
                     e.place(i, r.host, attempt);
-                    r.take(job.spec, 1, false);
+                    plan.take(r, job.spec, 1);
                     plan.use(plan.myUse, job.spec, 1);
                     plan.use(plan.allUse, job.spec, 1);
                     next++;
                 }
             }
         }
-        plan.open.removeIf(r -> !r.open());
         return next;
     }
 }
--- a/src/main/java/io/quincelead/placing/Plan.java
+++ b/src/main/java/io/quincelead/placing/Plan.java
@@ -1,6 +1,7 @@
 package io.quincelead.placing;
 
 import io.quincelead.app.Constants;
+import io.quincelead.cloud.Catalog;
 import io.quincelead.jobs.Chunk;
 import io.quincelead.jobs.Job;
 import io.quincelead.jobs.JobSpec;
@@ -20,8 +21,8 @@
     final Txn txn = new Txn();
     final Map<Chunk, Chunk.Edit> edits = new LinkedHashMap<>();
     final Map<String, Room> rooms = new LinkedHashMap<>();
-    /** Rooms in which something may still be placed. */
-    final List<Room> open = new ArrayList<>();
+    /** The same rooms by what every job sees alike in them. */
+    final Map<List<Object>, Room.Kind> kinds = new LinkedHashMap<>();
     /** What tasks use by team: of this controller's jobs, and of all. Ends by evidence don't count. */
     final Map<String, double[]> myUse = new HashMap<>();
     final Map<String, double[]> allUse = new HashMap<>();
@@ -34,6 +35,8 @@
     final int changes;
     final int txnOps;
     boolean truncated;
+    /** CPUs free in rooms whose GPUs nobody seeks; NaN when they have to be summed up anew. */
+    private double freeCpus = Double.NaN;
     /** CPUs of the rooms that low work leaves free. */
     double reserve;
 
@@ -50,12 +53,33 @@
         return Math.min(changes, (txnOps * Constants.GUARDS_PER_OP - 4 - blocks) / 2);
     }
 
+    /** Whether no further record fits into the change. */
+    boolean full() {
+        return edits.size() >= most(changes, blocks, txnOps);
+    }
+
+    Room.Kind kind(Catalog.Shape shape, String site, boolean spot) {
+        return kinds.computeIfAbsent(List.of(shape.label(), site, spot), k -> new Room.Kind(shape, site, spot));
+    }
+
+    void add(Room r) {
+        rooms.put(r.host, r);
+        r.kind.rooms.add(r);
+        freeCpus = Double.NaN;
+    }
+
+    /** Room of a machine is taken by tasks that get their place in this plan. */
+    void take(Room r, JobSpec s, int n) {
+        r.take(s, n);
+        freeCpus = Double.NaN;
+    }
+
     /** The edit of a chunk, with the ends known by evidence; null when the transaction has no room for one more. */
     Chunk.Edit edit(Job job, int number) {
         Chunk c = job.chunk(number);
         Chunk.Edit e = edits.get(c);
         if (e == null) {
-            if (edits.size() >= most(changes, blocks, txnOps)) {
+            if (full()) {
                 truncated = true;
                 return null;
             }
@@ -78,9 +102,11 @@
 
     /** Tasks of the job that may get a place and have none in this plan. */
     int pending(Job job) {
-        int n = 0;
-        for (int k = 0; k < job.chunks.length; k++) {
-            n += pending(job, k);
+        int n = job.waitingCount();
+        for (int k = 0; !edits.isEmpty() && k < job.chunks.length; k++) {
+            Chunk c = job.chunk(k);
+            Chunk.Edit e = edits.get(c);
+            n += e == null ? 0 : e.waiting() - waiting(c);
         }
         return n;
     }
@@ -88,15 +114,28 @@
     int pending(Job job, int number) {
         Chunk c = job.chunk(number);
         Chunk.Edit e = edits.get(c);
-        if (e != null) {
-            return e.waiting();
+        return e != null ? e.waiting() : waiting(c);
+    }
+
+    private static int waiting(Chunk c) {
+        int n = c.pending();
+        if (!c.job.spec.gang()) {
+            for (Placement p : c.placed.values()) {
+                n += p.phase() == Placement.Phase.GONE ? 1 : 0;
+            }
         }
-        return c.pending() + (job.spec.gang() ? 0 : (int) c.placed.values().stream().filter(p -> p.phase() == Placement.Phase.GONE).count());
+        return n;
     }
 
     /** CPUs that are free in rooms whose GPUs nobody seeks. */
     double freeCpus() {
-        return open.stream().filter(r -> !r.sought).mapToDouble(Room::freeCpus).sum();
+        if (Double.isNaN(freeCpus)) {
+            freeCpus = 0;
+            for (Room r : rooms.values()) {
+                freeCpus += r.open() && !r.kind.sought ? r.freeCpus() : 0;
+            }
+        }
+        return freeCpus;
     }
 
     boolean edits(Job job) {
--- a/src/main/java/io/quincelead/placing/Preemption.java
+++ b/src/main/java/io/quincelead/placing/Preemption.java
@@ -4,13 +4,16 @@
 import io.quincelead.app.Loop;
 import io.quincelead.app.Settings;
 import io.quincelead.jobs.Chunk;
+import io.quincelead.jobs.HostLoad;
 import io.quincelead.jobs.Job;
 import io.quincelead.jobs.JobSpec;
 import io.quincelead.jobs.JobTable;
 import io.quincelead.jobs.Placement;
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /** Stops work that the protocol lets a job displace, as little and as cheap as will do. */
@@ -23,9 +26,11 @@
     private final Set<Job> guaranteed;
     /** Whether victims should share records, for the store's changes are short. */
     private final boolean together;
-    /** What could be stopped at all, cheapest first: for those in a hurry, and for others. Read once a round. */
-    private List<Placement> forHurry;
-    private List<Placement> forOthers;
+    /** What could be stopped, cheapest first, for those in a hurry and for others, by whom it is for. Made when needed. */
+    private final Map<List<Object>, Victims> victims = new HashMap<>();
+    /** Demands for which everything that may be stopped is being stopped, without and within a guarantee (by team). */
+    private final Unmet unmet = new Unmet();
+    private final Map<String, Unmet> unmetWithin = new HashMap<>();
 
     Preemption(Loop loop, Settings settings, JobTable jobs, Plan plan, Set<Job> guaranteed, boolean together) {
         this.now = loop.now();
@@ -45,19 +50,35 @@
         if (need <= 0 || s.urgency() == JobSpec.Urgency.BEST_EFFORT && !within) {
             return need;
         }
-        for (Room r : plan.rooms.values()) {
-            if (need > 0 && r.suits(s)) {
-                int n = Math.min(need, r.soonCap(s));
-                r.takeSoon(s, n);
-                need -= n;
+        if (within ? unmetWithin.containsKey(s.owner()) && unmetWithin.get(s.owner()).covers(s) : unmet.covers(s)) {
+            return need;
+        }
+        for (Room.Kind kind : plan.kinds.values()) {
+            if (!kind.suits(s)) {
+                continue;
+            }
+            for (Room r : kind.rooms) {
+                int n = need <= 0 ? 0 : Math.min(need, r.soonCap(s));
+                if (n > 0) {
+                    r.takeSoon(s, n);
+                    need -= n;
+                }
             }
         }
-        for (Placement p : candidates(s.urgency().ordinal() <= JobSpec.Urgency.HIGH.ordinal())) {
-            if (need <= 0) {
+        Victims all = need <= 0 ? null : victims(job, within);
+        for (int i = 0; need > 0; i++) {
+            Victims.Victim v = all.get(i);
+            if (v == null) {
+                // What is stopped for one within its guarantee is more than another may stop.
+                unmet.add(s);
+                if (within) {
+                    unmetWithin.computeIfAbsent(s.owner(), t -> new Unmet()).add(s);
+                }
                 break;
             }
-            Room r = plan.rooms.get(p.host);
-            if (!mayStop(job, p, within) || !r.suits(s)) {
+            Placement p = v.placement();
+            Room r = v.room();
+            if (!mayStop(job, p, within) || !r.kind.suits(s)) {
                 continue;
             }
             Chunk.Edit e = plan.edit(p);
@@ -69,6 +90,9 @@
             }
             e.stop(p.index);
             r.leaves(p.job.spec);
+            // The room this leaves may be more than the job needs.
+            unmet.clear();
+            unmetWithin.clear();
             int n = Math.min(need, r.soonCap(s));
             r.takeSoon(s, n);
             need -= n;
@@ -76,29 +100,27 @@
         return need;
     }
 
-    private List<Placement> candidates(boolean hurry) {
-        if (forHurry == null) {
-            List<Placement> all = new ArrayList<>();
-            for (Room r : plan.rooms.values()) {
-                for (Placement p : jobs.on(r.host).values()) {
-                    if (!p.stop && !p.over() && !p.job.cancelled() && !p.job.spec.gang() && !nearlyDone(p)) {
-                        all.add(p);
+    private Victims victims(Job job, boolean within) {
+        JobSpec s = job.spec;
+        boolean hurry = s.urgency().ordinal() <= JobSpec.Urgency.HIGH.ordinal();
+        int most = s.urgency().ordinal() + (within ? 0 : 1);
+        List<Object> key = Arrays.asList(hurry, most, within ? s.owner() : null, s.shapes(), s.site(), s.preemptible());
+        return victims.computeIfAbsent(key, k -> {
+            List<Victims.Victim> all = new ArrayList<>();
+            for (Room.Kind kind : plan.kinds.values()) {
+                for (Room r : kind.mayRun(s) ? kind.rooms : List.<Room>of()) {
+                    HostLoad load = jobs.load(r.host);
+                    for (int u = most; load != null && u < JobSpec.Urgency.values().length; u++) {
+                        for (Placement p : load.stoppable(u)) {
+                            if (mayStop(job, p, within) && !nearlyDone(p)) {
+                                all.add(new Victims.Victim(p, r, loss(p), all.size()));
+                            }
+                        }
                     }
                 }
             }
-            Comparator<Placement> cheapest = Comparator.comparingInt((Placement p) -> -p.job.spec.urgency().ordinal()).thenComparingDouble(this::loss);
-            if (together) {
-                // The youngest jobs' tasks have run least; those of one record are stopped by one change.
-                cheapest = Comparator.comparingInt((Placement p) -> -p.job.spec.urgency().ordinal()).thenComparingLong(p -> -p.job.acceptedAt)
-                        .thenComparing(p -> p.job.spec.id()).thenComparingInt(p -> p.index / Constants.CHUNK_TASKS).thenComparingDouble(this::loss);
-            }
-            all.sort(cheapest);
-            forOthers = all;
-            // Urgent work waits for the room: a task that first saves would keep it waiting longer than one that just ends.
-            forHurry = new ArrayList<>(all);
-            forHurry.sort(Comparator.comparingDouble(p -> p.job.spec.snapshotEveryS() > 0 ? p.job.spec.snapshotS() : 0));
-        }
-        return hurry ? forHurry : forOthers;
+            return new Victims(all, hurry, together);
+        });
     }
 
     private boolean nearlyDone(Placement p) {
--- a/src/main/java/io/quincelead/placing/QueueOrder.java
+++ b/src/main/java/io/quincelead/placing/QueueOrder.java
@@ -3,12 +3,10 @@
 import io.quincelead.app.Constants;
 import io.quincelead.app.Settings;
 import io.quincelead.jobs.Job;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -29,14 +27,18 @@
     /** A job and what its place in the queue depends on. */
     public record Ranked(Job job, int urgency, boolean withinGuarantee, boolean hopeless, double slackS) { }
 
-    public static final Comparator<Ranked> ORDER = Comparator.comparingInt(Ranked::urgency)
-            .thenComparing(r -> !r.withinGuarantee).thenComparing(Ranked::hopeless)
-            .thenComparingDouble(Ranked::slackS).thenComparing(r -> r.job.spec.id());
+    public static final Comparator<Ranked> ORDER = QueueOrder::compare;
 
-    /** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
-    public Set<Job> guaranteed(Collection<Job> jobs) {
-        List<Job> byAge = new ArrayList<>(jobs);
-        byAge.sort(Comparator.comparingLong((Job j) -> j.acceptedAt).thenComparing(j -> j.spec.id()));
+    private static int compare(Ranked a, Ranked b) {
+        int c = Integer.compare(a.urgency, b.urgency);
+        c = c != 0 ? c : Boolean.compare(!a.withinGuarantee, !b.withinGuarantee);
+        c = c != 0 ? c : Boolean.compare(a.hopeless, b.hopeless);
+        c = c != 0 ? c : Double.compare(a.slackS, b.slackS);
+        return c != 0 ? c : a.job.spec.id().compareTo(b.job.spec.id());
+    }
+
+    /** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs; given by age. */
+    public Set<Job> guaranteed(Collection<Job> byAge) {
         Map<String, double[]> wanted = new HashMap<>();
         Set<Job> out = new HashSet<>();
         for (Job j : byAge) {
--- /dev/null
+++ b/src/main/java/io/quincelead/placing/QueuePass.java
@@ -0,0 +1,333 @@
+package io.quincelead.placing;
+
+import io.quincelead.app.Constants;
+import io.quincelead.app.Loop;
+import io.quincelead.app.OperatorSettings;
+import io.quincelead.app.Settings;
+import io.quincelead.cloud.Catalog;
+import io.quincelead.jobs.Job;
+import io.quincelead.jobs.JobSpec;
+import io.quincelead.jobs.JobTable;
+import io.quincelead.jobs.Kinds;
+import io.quincelead.leader.Blocks;
+import io.quincelead.state.StoreClient;
+import io.quincelead.workers.ImageCaches;
+import io.quincelead.workers.MachineTable;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * One walk over the queue of waiting jobs, most urgent first: reads what room there is, runs the TEBAS pass for each job
+ * that could find some, makes room where that is allowed, and says which jobs don't fit this block.
+ */
+final class QueuePass {
+    /** What is known of machines beside their records. */
+    interface Machines {
+        /** Whether new tasks may go to a machine of that controller's block. */
+        boolean fit(String owner, String host);
+
+        /** Seconds until a start can leave for the machine. */
+        double reachS(String host);
+    }
+
+    private final Loop loop;
+    private final Settings settings;
+    private final OperatorSettings operator;
+    private final StoreClient store;
+    private final Blocks blocks;
+    private final JobTable jobs;
+    private final MachineTable machines;
+    private final Catalog catalog;
+    private final ImageCaches images;
+    private final Kinds kinds;
+    private final QueueOrder order;
+    private final Machines fitness;
+    /** When low work may be placed again. */
+    private long lowAt;
+    /** Whether work of ours waits for room, and what work of the leader does. */
+    private boolean waiting;
+    private final List<JobSpec> leaderWaits = new ArrayList<>();
+    /** Changes that the largest waiting gang needs at once. */
+    private int gangChanges;
+    /** Since when a job has found no room in this block. */
+    private final Map<Job, Long> stuckSince = new HashMap<>();
+    /** Since when there has been room here for a job that waits at the leader. */
+    private final Map<Job, Long> leaderSince = new HashMap<>();
+
+    QueuePass(Loop loop, Settings settings, OperatorSettings operator, StoreClient store, Blocks blocks, JobTable jobs, MachineTable machines,
+            Catalog catalog, ImageCaches images, Kinds kinds, Machines fitness) {
+        this.loop = loop;
+        this.settings = settings;
+        this.operator = operator;
+        this.store = store;
+        this.blocks = blocks;
+        this.jobs = jobs;
+        this.machines = machines;
+        this.catalog = catalog;
+        this.images = images;
+        this.kinds = kinds;
+        this.order = new QueueOrder(settings);
+        this.fitness = fitness;
+    }
+
+    /** Whether work of ours waited for room at the last pass. */
+    boolean waiting() {
+        return waiting;
+    }
+
+    int gangChanges() {
+        return gangChanges;
+    }
+
+    /** Whether work that waits at the leader could go where a task has just ended. */
+    boolean leaderCouldUse(String host) {
+        MachineTable.Machine m = machines.get(host);
+        Catalog.Shape shape = m == null || leaderWaits.isEmpty() ? null : catalog.get(m.shape());
+        if (shape == null) {
+            return false;
+        }
+        Room.Kind kind = new Room.Kind(shape, m.site(), m.spot());
+        kind.sought = kinds.cardsWanted(shape, m.site(), m.spot());
+        return leaderWaits.stream().anyMatch(kind::suits);
+    }
+
+    /**
+     * Writes into the plan where waiting tasks go. {@code chief}: the leader, if it is heard of; {@code ends} puts ends on
+     * record, after urgent work and before low work.
+     */
+    void place(Plan plan, String chief, Consumer<Plan> ends) {
+        List<Job> candidates = new ArrayList<>();
+        List<Job> chiefWaits = new ArrayList<>();
+        readJobs(plan, plan.leading ? null : chief, candidates, chiefWaits);
+        candidates.addAll(plan.entering);
+        leaderWaits.clear();
+        chiefWaits.forEach(j -> leaderWaits.add(j.spec));
+        waiting = !candidates.isEmpty();
+        gangChanges = 0;
+        for (Job j : candidates) {
+            gangChanges = j.spec.gang() ? Math.max(gangChanges, j.chunks.length) : gangChanges;
+        }
+        if (!waiting) {
+            stuckSince.clear();
+            ends.accept(plan);
+            return;
+        }
+        readRooms(plan);
+        plan.reserve = kinds.urgentCpus(Constants.RESERVE_S) / (plan.leading ? 1 : Math.max(1, blocks.all().size()));
+        ahead(plan, chiefWaits);
+        walk(plan, candidates, ends);
+    }
+
+    /** Sums up what teams use, and finds the jobs that wait: ours, and the leader's that its team's allowance lets in. */
+    private void readJobs(Plan plan, String chief, List<Job> candidates, List<Job> chiefWaits) {
+        long now = loop.now();
+        String me = settings.member();
+        Map<String, double[]> chiefUse = new HashMap<>();
+        for (Job job : jobs.all()) {
+            int held = job.heldCount();
+            if (held > 0) {
+                plan.use(plan.allUse, job.spec, held);
+                if (job.controller.equals(me)) {
+                    plan.use(plan.myUse, job.spec, held);
+                } else if (job.controller.equals(chief)) {
+                    plan.use(chiefUse, job.spec, held);
+                }
+            }
+            if (job.cancelled() || job.waitingCount() == 0) {
+                continue;
+            }
+            if (job.controller.equals(chief)) {
+                chiefWaits.add(job);
+            }
+            if (job.controller.equals(me) && now >= job.notBefore && !(job.spec.gang() && job.placedCount() > 0)) {
+                candidates.add(job);
+            }
+        }
+        Blocks.Block chiefBlock = chief == null ? null : blocks.of(chief);
+        chiefWaits.removeIf(j -> chiefBlock == null || Plan.quota(chiefBlock, chiefUse, j.spec) < (j.spec.gang() ? j.pendingCount() : 1));
+    }
+
+    private void walk(Plan plan, List<Job> candidates, Consumer<Plan> ends) {
+        Set<Job> guaranteed = order.guaranteed(jobs.byAge());
+        long wall = loop.wall();
+        List<QueueOrder.Ranked> queue = new ArrayList<>(candidates.size());
+        candidates.forEach(j -> queue.add(order.rank(j, guaranteed.contains(j), wall)));
+        queue.sort(QueueOrder.ORDER);
+        Placer placer = new Placer(operator, machines, images, plan);
+        Preemption preemption = new Preemption(loop, settings, jobs, plan, guaranteed, store.pressure() > Constants.PRESSED);
+        Elsewhere elsewhere = new Elsewhere(plan);
+        boolean lowDue = loop.now() >= lowAt;
+        if (lowDue) {
+            lowAt = loop.now() + store.paced(0, Constants.LOW_GAP_MAX_MS);
+        }
+        Set<Job> stuck = new HashSet<>();
+        boolean ended = false;
+        for (QueueOrder.Ranked r : queue) {
+            Job job = r.job();
+            boolean low = r.urgency() == JobSpec.Urgency.BEST_EFFORT.ordinal();
+            if (!ended && low) {
+                // Where changes are short, urgent work comes before the record of ends, and that before low work.
+                ended = true;
+                ends.accept(plan);
+            }
+            if (plan.full()) {
+                // Nothing more can be recorded: the next round goes on here, with what has changed until then.
+                plan.truncated = true;
+                stuckSince.keySet().stream().filter(j -> jobs.get(j.spec.id()) == j).forEach(stuck::add);
+                break;
+            }
+            if (!lowDue && low) {
+                stuck.add(job);
+                continue;
+            }
+            int left = placer.place(job);
+            if (left > 0) {
+                int unmet = preemption.makeRoom(r, left);
+                if (unmet > 0 && r.urgency() == JobSpec.Urgency.PRODUCTION.ordinal()) {
+                    left = placer.place(job, true);
+                }
+                if (left > 0 && !plan.leading && elsewhere.better(job, stuck)) {
+                    plan.misfits.add(job);
+                }
+            }
+        }
+        if (!ended) {
+            ends.accept(plan);
+        }
+        stuckSince.keySet().retainAll(stuck);
+    }
+
+    /**
+     * Leaves room here to more urgent work that the leader is placing, where it could go. A leader that hasn't used the room in
+     * this time can't; waiting on would idle the block.
+     */
+    private void ahead(Plan plan, List<Job> chiefWaits) {
+        leaderSince.keySet().retainAll(Set.copyOf(chiefWaits));
+        Unmet none = new Unmet();
+        for (Job j : chiefWaits) {
+            JobSpec s = j.spec;
+            boolean room = !none.covers(s) && room(plan, s);
+            if (!room) {
+                none.add(s);
+                leaderSince.remove(j);
+            } else if (loop.now() - leaderSince.computeIfAbsent(j, x -> loop.now()) > Constants.LEADER_FIRST_MS) {
+                continue;
+            }
+            for (Room.Kind k : plan.kinds.values()) {
+                if (k.allows(s)) {
+                    k.leftTo = Math.min(k.leftTo, s.urgency().ordinal());
+                }
+            }
+        }
+    }
+
+    private static boolean room(Plan plan, JobSpec s) {
+        for (Room.Kind k : plan.kinds.values()) {
+            for (Room r : k.allows(s) ? k.rooms : List.<Room>of()) {
+                if (r.open() && r.cap(s) > 0) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    /** Whether jobs that found no room here should go to the leader. */
+    private final class Elsewhere {
+        private final Plan plan;
+        /** Machines of other blocks that have room; read when first needed. */
+        private Map<List<Object>, Room.Kind> others;
+        /** Tasks that others had room for, of jobs that had too little of it. */
+        private final Map<JobSpec, Integer> found = new HashMap<>();
+
+        Elsewhere(Plan plan) {
+            this.plan = plan;
+        }
+
+        /**
+         * One whose kind of machine this block hasn't got goes at once; any other one when it has waited here for a while and
+         * others have room that this block lacks. Without the second condition a full cluster would hand every job to the
+         * leader, who would then place all work alone.
+         */
+        boolean better(Job job, Set<Job> stuck) {
+            JobSpec s = job.spec;
+            if (plan.quota(s) < (s.gang() ? job.pendingCount() : 1)) {
+                // Its team's allowance here is what it lacks; that comes to where the want is.
+                return false;
+            }
+            if (s.gang() || s.oneZone() || s.scatter() || plan.kinds.values().stream().noneMatch(k -> k.allows(s))) {
+                return true;
+            }
+            stuck.add(job);
+            long since = stuckSince.computeIfAbsent(job, j -> loop.now());
+            if (loop.now() - since < Constants.HAND_OVER_AFTER_MS) {
+                return false;
+            }
+            int least = Math.min(job.pendingCount(), Constants.HAND_OVER_LEAST);
+            for (Map.Entry<JobSpec, Integer> f : found.entrySet()) {
+                if (f.getValue() < least && Unmet.harder(s, f.getKey())) {
+                    return false;
+                }
+            }
+            int n = 0;
+            for (Room.Kind k : others().values()) {
+                for (Room r : k.allows(s) ? k.rooms : List.<Room>of()) {
+                    n += r.cap(s);
+                    if (n >= least) {
+                        return true;
+                    }
+                }
+            }
+            found.put(s, n);
+            return false;
+        }
+
+        private Map<List<Object>, Room.Kind> others() {
+            if (others == null) {
+                Plan rest = new Plan(plan.block, false, 0, 0, 0);
+                for (MachineTable.Machine m : machines.all()) {
+                    Catalog.Shape shape = catalog.get(m.shape());
+                    if (blocks.owner(m.host()) != null && !plan.block.machines().containsKey(m.host()) && shape != null && !m.returning()
+                            && !m.closed() && images.known(m.host())) {
+                        rest.add(new Room(m.host(), rest.kind(shape, m.site(), m.spot()), false, jobs.load(m.host())));
+                    }
+                }
+                others = rest.kinds;
+            }
+            return others;
+        }
+    }
+
+    private void readRooms(Plan plan) {
+        Map<String, Long> mine = plan.block.machines();
+        if (plan.leading) {
+            for (MachineTable.Machine m : machines.all()) {
+                readRoom(plan, m, mine.containsKey(m.host()));
+            }
+        } else {
+            for (String host : mine.keySet()) {
+                MachineTable.Machine m = machines.get(host);
+                if (m != null) {
+                    readRoom(plan, m, true);
+                }
+            }
+        }
+        plan.kinds.values().forEach(k -> k.sought = kinds.cardsWanted(k.shape, k.site, k.spot));
+    }
+
+    private void readRoom(Plan plan, MachineTable.Machine m, boolean inBlock) {
+        Catalog.Shape shape = catalog.get(m.shape());
+        String owner = blocks.owner(m.host());
+        if (shape == null || m.returning() || m.closed() || owner == null || !fitness.fit(owner, m.host())) {
+            return;
+        }
+        Room r = new Room(m.host(), plan.kind(shape, m.site(), m.spot()), inBlock, jobs.load(m.host()));
+        r.reachS = fitness.reachS(m.host());
+        plan.add(r);
+    }
+}
--- a/src/main/java/io/quincelead/placing/Room.java
+++ b/src/main/java/io/quincelead/placing/Room.java
@@ -1,20 +1,49 @@
 package io.quincelead.placing;
 
 import io.quincelead.cloud.Catalog;
+import io.quincelead.jobs.HostLoad;
 import io.quincelead.jobs.JobSpec;
-import io.quincelead.workers.MachineTable;
+import java.util.ArrayList;
+import java.util.List;
 
 /** A machine's room in one round's plan. */
 final class Room {
+    /** What machines that every job sees alike have in common: type, zone and kind of rental. */
+    static final class Kind {
+        final Catalog.Shape shape;
+        final String site;
+        final boolean spot;
+        /** Whether other work needs their GPUs. */
+        boolean sought;
+        /** Only work at least this urgent may use them: the leader is placing some. */
+        int leftTo = Integer.MAX_VALUE;
+        final List<Room> rooms = new ArrayList<>();
+
+        Kind(Catalog.Shape shape, String site, boolean spot) {
+            this.shape = shape;
+            this.site = site;
+            this.spot = spot;
+        }
+
+        /** Whether the job should go there: it may, nobody more urgent is about to, and it takes no GPUs from those who seek them. */
+        boolean suits(JobSpec s) {
+            return allows(s) && leftTo >= s.urgency().ordinal() && !(sought && s.cards() == 0 && s.shapes() == null);
+        }
+
+        /** Whether the job's own demands let it go there. */
+        boolean allows(JobSpec s) {
+            return mayRun(s) && shape.holds(s);
+        }
+
+        /** Whether it is one of the machines that the job names. */
+        boolean mayRun(JobSpec s) {
+            return Catalog.allowed(s, shape.label()) && (s.site() == null || s.site().equals(site)) && (s.preemptible() || !spot);
+        }
+    }
+
     final String host;
-    final Catalog.Shape shape;
-    final String site;
-    final boolean spot;
+    final Kind kind;
     final boolean inBlock;
-    /** Whether other work needs its GPUs. */
-    boolean sought;
-    /** Only work at least this urgent may use it: the leader is placing some. */
-    int leftTo = Integer.MAX_VALUE;
     /** Seconds until its worker can be told of a start. */
     double reachS;
     private double cpu;
@@ -25,24 +54,30 @@
     private double soonRam;
     private double soonGpu;
 
-    Room(MachineTable.Machine m, Catalog.Shape shape, boolean inBlock) {
-        this.host = m.host();
-        this.shape = shape;
-        this.site = m.site();
-        this.spot = m.spot();
+    /** {@code load}: what is there; null for nothing. */
+    Room(String host, Kind kind, boolean inBlock, HostLoad load) {
+        this.host = host;
+        this.kind = kind;
         this.inBlock = inBlock;
-        this.cpu = soonCpu = shape.vcpus();
-        this.ram = soonRam = shape.ramGb();
-        this.gpu = soonGpu = shape.cards();
+        this.cpu = soonCpu = kind.shape.vcpus();
+        this.ram = soonRam = kind.shape.ramGb();
+        this.gpu = soonGpu = kind.shape.cards();
+        if (load != null) {
+            cpu -= load.cpus();
+            ram -= load.ramGb();
+            gpu -= load.cards();
+            soonCpu = cpu + load.leavingCpus();
+            soonRam = ram + load.leavingRamGb();
+            soonGpu = gpu + load.leavingCards();
+        }
     }
 
-    void take(JobSpec s, int n, boolean leaving) {
+    /** The job's tasks go there. */
+    void take(JobSpec s, int n) {
         cpu -= n * s.vcpus();
         ram -= n * s.ramGb();
         gpu -= n * s.cards();
-        if (!leaving) {
-            takeSoon(s, n);
-        }
+        takeSoon(s, n);
     }
 
     void takeSoon(JobSpec s, int n) {
@@ -72,15 +107,4 @@
     int soonCap(JobSpec s) {
         return Tebas.remainCap(soonCpu, soonRam, soonGpu, s.vcpus(), s.ramGb(), s.cards());
     }
-
-    /** Whether the job should go there: it may, nobody more urgent is about to, and it takes no GPUs from those who seek them. */
-    boolean suits(JobSpec s) {
-        return allows(s) && leftTo >= s.urgency().ordinal() && !(sought && s.cards() == 0 && s.shapes() == null);
-    }
-
-    /** Whether the job's own demands let it go there. */
-    boolean allows(JobSpec s) {
-        return Catalog.allowed(s, shape.label()) && (s.site() == null || s.site().equals(site)) && (s.preemptible() || !spot)
-                && shape.holds(s);
-    }
 }
--- a/src/main/java/io/quincelead/placing/Rounds.java
+++ b/src/main/java/io/quincelead/placing/Rounds.java
@@ -24,13 +24,10 @@
 import io.quincelead.workers.MachineTable;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -46,17 +43,12 @@
 
     private final Loop loop;
     private final Settings settings;
-    private final OperatorSettings operator;
     private final Session session;
     private final Mirror mirror;
     private final StoreClient store;
     private final Blocks blocks;
     private final JobTable jobs;
     private final MachineTable machines;
-    private final Catalog catalog;
-    private final ImageCaches images;
-    private final Kinds kinds;
-    private final QueueOrder order;
     private final Runnable settled;
     private Desk desk;
     private Leader leader;
@@ -64,21 +56,9 @@
     private Phase phase = Phase.IDLE;
     private boolean again;
     private long lastRound;
-    /** When low work may be placed again. */
-    private long lowAt;
-    /** Whether work of ours waits for room, and what work of the leader does. */
-    private boolean waiting;
-    private Set<JobSpec> leaderWaits = Set.of();
-    /** Changes that the largest waiting gang needs at once. */
-    private int gangChanges;
+    private final QueuePass queue;
     /** Chunks with ends that aren't on record, and when they should be. */
     private final Map<Ref, Long> ended = new LinkedHashMap<>();
-    /** Since when a job has found no room in this block. */
-    private final Map<Job, Long> stuckSince = new HashMap<>();
-
-    /** Since when there has been room here for a job that waits at the leader. */
-    private final Map<Job, Long> leaderSince = new HashMap<>();
-
     private record Ref(Job job, int chunk) { }
 
     /** Urgent jobs that are being submitted: recorded by the next round, with their first places if there are any. */
@@ -91,18 +71,24 @@
             Runnable settled) {
         this.loop = loop;
         this.settings = settings;
-        this.operator = operator;
         this.session = session;
         this.mirror = mirror;
         this.store = store;
         this.blocks = blocks;
         this.jobs = jobs;
         this.machines = machines;
-        this.catalog = catalog;
-        this.images = images;
-        this.kinds = kinds;
-        this.order = new QueueOrder(settings);
         this.settled = settled;
+        this.queue = new QueuePass(loop, settings, operator, store, blocks, jobs, machines, catalog, images, kinds, new QueuePass.Machines() {
+            @Override public boolean fit(String owner, String host) {
+                Desk.Own own = desk.own(host);
+                return owner.equals(settings.member()) ? own != null && own.fit() : peers.fit(owner, host);
+            }
+
+            @Override public double reachS(String host) {
+                Desk.Own own = desk.own(host);
+                return own != null ? own.reachS() : settings.workers().reportS() / 2;
+            }
+        });
     }
 
     public void wire(Desk d, Leader l, Peers p) {
@@ -175,32 +161,15 @@
         boolean patient = gone && p.job.spec.urgency() == JobSpec.Urgency.BEST_EFFORT && store.pressure() > Constants.PRESSED;
         boolean soon = gone && !patient || p.job.spec.gang() || p.job.cancelled();
         int number = p.index / Constants.CHUNK_TASKS;
-        boolean told = leaderCouldUse(p.host) || !ours && p.job.chunk(number).placed.values().stream().allMatch(Placement::over);
+        boolean told = queue.leaderCouldUse(p.host) || !ours && p.job.chunk(number).placed.values().stream().allMatch(Placement::over);
         long pause = soon ? 0 : told ? Constants.END_TELL_MS
-                : paced(ours ? Constants.END_GATHER_MS : Constants.END_TELL_MS, Constants.END_GATHER_MAX_MS);
+                : store.paced(ours ? Constants.END_GATHER_MS : Constants.END_TELL_MS, Constants.END_GATHER_MAX_MS);
         ended.merge(new Ref(p.job, number), loop.now() + pause, Math::min);
-        if (soon || waiting) {
+        if (soon || queue.waiting()) {
             wake();
         }
     }
 
-    /** Whether work that waits at the leader could go where a task has just ended. */
-    private boolean leaderCouldUse(String host) {
-        MachineTable.Machine m = machines.get(host);
-        Catalog.Shape shape = m == null || leaderWaits.isEmpty() ? null : catalog.get(m.shape());
-        if (shape == null) {
-            return false;
-        }
-        Room r = new Room(m, shape, true);
-        r.sought = kinds.cardsWanted(shape, m.site(), m.spot());
-        return leaderWaits.stream().anyMatch(r::suits);
-    }
-
-    /** A pause that grows while the store's changes are short. */
-    private long paced(long least, long most) {
-        return least + (long) (store.pressure() * (most - least));
-    }
-
     /** Wakes a round if work waits or an end should be on record by now. */
     public void look() {
         boolean due = blocks.mine() != null && ended.values().stream().anyMatch(t -> t <= loop.now());
@@ -233,7 +202,7 @@
         boolean entering = !newcomers.isEmpty() && store.urgentAffordable();
         if (entering) {
             changes = Math.max(changes, Math.min(newcomers.size(), store.txnOps()));
-        } else if (changes < Math.min(Math.max(Constants.ROUND_LEAST_CHANGES, gangChanges), store.txnOps())) {
+        } else if (changes < Math.min(Math.max(Constants.ROUND_LEAST_CHANGES, queue.gangChanges()), store.txnOps())) {
             // Over our share of the store's limit: a plan made now would be out of date when it may be written.
             loop.after(Constants.BUSY_PAUSE_MS, this::run);
             return;
@@ -289,7 +258,7 @@
         entering.forEach(j -> plan.edit(j, 0));
         gangsWithLosses(plan);
         drains(plan);
-        place(plan);
+        queue.place(plan, peers.heard() ? blocks.leader() : null, this::ends);
         encode(plan);
         handOver(plan);
         return plan;
@@ -383,172 +352,6 @@
         }
     }
 
-    // ---- placing
-
-    private void place(Plan plan) {
-        long now = loop.now();
-        List<Job> candidates = new ArrayList<>();
-        String me = settings.member();
-        String chief = plan.leading || !peers.heard() ? null : blocks.leader();
-        Map<String, double[]> chiefUse = new HashMap<>();
-        List<Job> chiefWaits = new ArrayList<>();
-        for (Job job : jobs.all()) {
-            int held = job.heldCount();
-            if (held > 0) {
-                plan.use(plan.allUse, job.spec, held);
-                if (job.controller.equals(me)) {
-                    plan.use(plan.myUse, job.spec, held);
-                } else if (job.controller.equals(chief)) {
-                    plan.use(chiefUse, job.spec, held);
-                }
-            }
-            if (job.cancelled() || job.waitingCount() == 0) {
-                continue;
-            }
-            if (job.controller.equals(chief)) {
-                chiefWaits.add(job);
-            }
-            if (job.controller.equals(me) && now >= job.notBefore && !(job.spec.gang() && job.placedCount() > 0)) {
-                candidates.add(job);
-            }
-        }
-        candidates.addAll(plan.entering);
-        // Room that comes free here belongs to more urgent work that the leader is waiting to place, if its team may use more.
-        Blocks.Block chiefBlock = chief == null ? null : blocks.of(chief);
-        chiefWaits.removeIf(j -> chiefBlock == null || Plan.quota(chiefBlock, chiefUse, j.spec) < (j.spec.gang() ? j.pendingCount() : 1));
-        leaderWaits = chiefWaits.stream().map(j -> j.spec).collect(Collectors.toSet());
-        waiting = !candidates.isEmpty();
-        gangChanges = candidates.stream().filter(j -> j.spec.gang()).mapToInt(j -> j.chunks.length).max().orElse(0);
-        if (!waiting) {
-            stuckSince.clear();
-            ends(plan);
-            return;
-        }
-        readRooms(plan);
-        plan.reserve = kinds.urgentCpus(Constants.RESERVE_S) / (plan.leading ? 1 : Math.max(1, blocks.all().size()));
-        ahead(plan, chiefWaits);
-        Set<Job> guaranteed = order.guaranteed(jobs.all());
-        List<QueueOrder.Ranked> queue = new ArrayList<>();
-        candidates.forEach(j -> queue.add(order.rank(j, guaranteed.contains(j), loop.wall())));
-        queue.sort(QueueOrder.ORDER);
-        Placer placer = new Placer(operator, machines, images, plan);
-        Preemption preemption = new Preemption(loop, settings, jobs, plan, guaranteed, store.pressure() > Constants.PRESSED);
-        Set<Job> stuck = new HashSet<>();
-        boolean lowDue = now >= lowAt;
-        if (lowDue) {
-            lowAt = now + paced(0, Constants.LOW_GAP_MAX_MS);
-        }
-        boolean ends = false;
-        for (QueueOrder.Ranked r : queue) {
-            Job job = r.job();
-            if (!ends && r.urgency() == JobSpec.Urgency.BEST_EFFORT.ordinal()) {
-                // Where changes are short, urgent work comes before the record of ends, and that before low work.
-                ends = true;
-                ends(plan);
-            }
-            if (!lowDue && r.urgency() == JobSpec.Urgency.BEST_EFFORT.ordinal()) {
-                stuck.add(job);
-                continue;
-            }
-            int left = placer.place(job);
-            if (left > 0) {
-                int unmet = preemption.makeRoom(r, left);
-                if (unmet > 0 && r.urgency() == JobSpec.Urgency.PRODUCTION.ordinal()) {
-                    left = placer.place(job, true);
-                }
-                if (left > 0 && !plan.leading && elsewhere(plan, job, stuck)) {
-                    plan.misfits.add(job);
-                }
-            }
-        }
-        if (!ends) {
-            ends(plan);
-        }
-        stuckSince.keySet().retainAll(stuck);
-    }
-
-    /**
-     * Leaves room here to more urgent work that the leader is placing, where it could go. A leader that hasn't used the room in
-     * this time can't; waiting on would idle the block.
-     */
-    private void ahead(Plan plan, List<Job> chiefWaits) {
-        leaderSince.keySet().retainAll(chiefWaits);
-        for (Job j : chiefWaits) {
-            if (plan.open.stream().noneMatch(r -> r.allows(j.spec) && r.cap(j.spec) > 0)) {
-                leaderSince.remove(j);
-            } else if (loop.now() - leaderSince.computeIfAbsent(j, x -> loop.now()) > Constants.LEADER_FIRST_MS) {
-                continue;
-            }
-            int urgency = j.spec.urgency().ordinal();
-            plan.rooms.values().stream().filter(r -> r.allows(j.spec)).forEach(r -> r.leftTo = Math.min(r.leftTo, urgency));
-        }
-    }
-
-    /**
-     * Whether a job that found no room here should go to the leader: one whose kind of machine this block hasn't got, at
-     * once; any other one when it has waited here for a while and others have room that this block lacks. Without the second
-     * condition a full cluster would hand every job to the leader, who would then place all work alone.
-     */
-    private boolean elsewhere(Plan plan, Job job, Set<Job> stuck) {
-        JobSpec s = job.spec;
-        if (plan.quota(s) < (s.gang() ? job.pendingCount() : 1)) {
-            // Its team's allowance here is what it lacks; that comes to where the want is.
-            return false;
-        }
-        if (s.gang() || s.oneZone() || s.scatter() || plan.rooms.values().stream().noneMatch(r -> r.allows(s))) {
-            return true;
-        }
-        stuck.add(job);
-        long since = stuckSince.computeIfAbsent(job, j -> loop.now());
-        if (loop.now() - since < Constants.HAND_OVER_AFTER_MS || plan.quota(s) <= 0) {
-            return false;
-        }
-        int found = 0;
-        for (MachineTable.Machine m : machines.all()) {
-            Catalog.Shape shape = catalog.get(m.shape());
-            String owner = blocks.owner(m.host());
-            if (owner != null && !plan.block.machines().containsKey(m.host()) && shape != null && !m.returning() && !m.closed() && images.known(m.host())) {
-                Room r = new Room(m, shape, false);
-                jobs.on(m.host()).values().forEach(p -> r.take(p.job.spec, 1, false));
-                found += r.allows(s) ? r.cap(s) : 0;
-                if (found >= Math.min(job.pendingCount(), Constants.HAND_OVER_LEAST)) {
-                    return true;
-                }
-            }
-        }
-        return false;
-    }
-
-    private void readRooms(Plan plan) {
-        Map<String, Long> mine = plan.block.machines();
-        for (String host : plan.leading ? machines.all().stream().map(MachineTable.Machine::host).toList() : mine.keySet()) {
-            MachineTable.Machine m = machines.get(host);
-            Catalog.Shape shape = m == null ? null : catalog.get(m.shape());
-            String owner = blocks.owner(host);
-            boolean inBlock = mine.containsKey(host);
-            if (shape == null || m.returning() || m.closed() || owner == null) {
-                continue;
-            }
-            Desk.Own own = desk.own(host);
-            boolean fit = inBlock ? own != null && own.fit() : peers.fit(owner, host);
-            if (!fit) {
-                continue;
-            }
-            Room r = new Room(m, shape, inBlock);
-            r.sought = kinds.cardsWanted(shape, m.site(), m.spot());
-            r.reachS = own != null ? own.reachS() : settings.workers().reportS() / 2;
-            for (Placement p : jobs.on(host).values()) {
-                if (!p.over()) {
-                    r.take(p.job.spec, 1, p.stop || p.job.cancelled());
-                }
-            }
-            plan.rooms.put(host, r);
-            if (r.open()) {
-                plan.open.add(r);
-            }
-        }
-    }
-
     // ---- the write
 
     private void encode(Plan plan) {
--- a/src/main/java/io/quincelead/placing/Tebas.java
+++ b/src/main/java/io/quincelead/placing/Tebas.java
@@ -1,8 +1,8 @@
 package io.quincelead.placing;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
+import java.util.PriorityQueue;
 
 /**
  * The TEBAS pass (Liu et al., "TEBAS: A Time-Efficient Balance-Aware Scheduling Strategy for Batch Processing Jobs",
@@ -46,12 +46,12 @@
 
     /** Assigns up to {@code tasks} tasks; returns how many found no room. */
     public static int pass(List<Seat> machines, int tasks, int beta) {
-        List<Seat> sorted = new ArrayList<>(machines);
-        sorted.sort(Comparator.comparingDouble((Seat s) -> -s.fitness).thenComparingDouble(s -> -s.room).thenComparing(s -> s.host));
-        int n = sorted.size();
-        if (n == 0) {
+        int n = machines.size();
+        if (n == 0 || tasks <= 0) {
             return tasks;
         }
+        // Each member with room takes a task at least, so the first sweep of a small job ends within the first machines.
+        List<Seat> sorted = first(machines, tasks);
         int groups = Math.max(1, n / beta);
         int size = n / groups;
         int left = tasks;
@@ -59,7 +59,7 @@
         while (left > 0 && progress) {
             progress = false;
             int average = 0;
-            for (int i = 0; i < n && left > 0; i++) {
+            for (int i = 0; i < sorted.size() && left > 0; i++) {
                 int group = Math.min(i / size, groups - 1);
                 if (i == group * size) {
                     average = left / (group < groups - 1 ? size : n - size * (groups - 1));
@@ -76,4 +76,31 @@
         }
         return left;
     }
+
+    private static int order(Seat a, Seat b) {
+        int byFitness = Double.compare(b.fitness, a.fitness);
+        int byRoom = byFitness != 0 ? byFitness : Double.compare(b.room, a.room);
+        return byRoom != 0 ? byRoom : a.host.compareTo(b.host);
+    }
+
+    /** The machines by descending Fitness; of many, only as many as the job has tasks: the pass gets no further. */
+    private static List<Seat> first(List<Seat> machines, int tasks) {
+        if (tasks >= machines.size() / 2 || machines.stream().anyMatch(m -> m.remainCap <= 0)) {
+            List<Seat> sorted = new ArrayList<>(machines);
+            sorted.sort(Tebas::order);
+            return sorted;
+        }
+        PriorityQueue<Seat> best = new PriorityQueue<>(tasks + 1, (a, b) -> order(b, a));
+        for (Seat s : machines) {
+            if (best.size() < tasks) {
+                best.add(s);
+            } else if (order(s, best.peek()) < 0) {
+                best.poll();
+                best.add(s);
+            }
+        }
+        List<Seat> sorted = new ArrayList<>(best);
+        sorted.sort(Tebas::order);
+        return sorted;
+    }
 }
--- a/src/main/java/io/quincelead/state/StoreClient.java
+++ b/src/main/java/io/quincelead/state/StoreClient.java
@@ -129,6 +129,11 @@
         return pressure;
     }
 
+    /** A pause in ms that grows while the store's changes are short. */
+    public long paced(long least, long most) {
+        return least + (long) (pressure * (most - least));
+    }
+
     public void commit(Txn txn, Txn.Done done) {
         writes.force(txn.writes());
         call("POST", "/commit", txn.encode(), Constants.STORE_TIMEOUT_MS, (status, body) -> {
