A job whose only machine fails it gets another; the round measured by JMH and its ranking hoisted

Change: after 8 failures in a row on one machine and none elsewhere, that machine is given up, once a job. Ruled out: blaming machines sooner, which costs the fleet a machine for each job that was submitted with a mistake.

--- /dev/null
+++ b/src/bench/java/io/quincelead/placing/RoundBench.java
@@ -0,0 +1,60 @@
+package io.quincelead.placing;
+
+import io.quincelead.jobs.JobSpec;
+import io.quincelead.world.Jobs;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/**
+ * One round of the leader over a cluster that is nearly full: what placing costs by machines, waiting jobs and running
+ * tasks. The compiler's first tier alone, as controllers run it.
+ */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Fork(value = 1, jvmArgsAppend = {"-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Xmx1g"})
+@Warmup(iterations = 2, time = 1)
+@Measurement(iterations = 3, time = 1)
+public class RoundBench {
+    @Param({"100", "1000", "5000"})
+    int machines;
+    @Param({"10", "300", "3000"})
+    int waiting;
+    @Param({"0", "10000", "50000"})
+    int running;
+    private Cluster cluster;
+
+    @Setup(Level.Trial) public void fill() {
+        SplittableRandom random = new SplittableRandom(7);
+        cluster = new Cluster(machines, random);
+        double cpus = cluster.hosts.values().stream().mapToDouble(s -> s.vcpus()).sum();
+        int id = 0;
+        for (int left = running; left > 0; left -= 100) {
+            JobSpec.Urgency urgency = id % 2 == 0 ? JobSpec.Urgency.BEST_EFFORT : JobSpec.Urgency.NORMAL;
+            cluster.running(Jobs.array(++id, "red", urgency, Math.min(100, left), Math.min(4, 0.95 * cpus / running), 60), random);
+        }
+        for (int i = 0; i < waiting; i++) {
+            JobSpec.Urgency urgency = JobSpec.Urgency.values()[1 + Math.min(2, random.nextInt(5) / 2)];
+            cluster.waiting(Jobs.array(++id, "red", urgency, 1 + random.nextInt(60), 1 + random.nextDouble() * 3, 20));
+        }
+    }
+
+    /** At most 12 records, as the store takes. */
+    @Benchmark public int round() {
+        Plan plan = cluster.plan(12);
+        cluster.pass.place(plan, null, cluster.noEnds);
+        return plan.edits.size();
+    }
+}
--- a/src/main/java/io/quincelead/app/Constants.java
+++ b/src/main/java/io/quincelead/app/Constants.java
@@ -159,6 +159,8 @@
     public static final double ZONE_PATIENCE_LEASES = 6;
     /** ms. A machine that reports to the wrong controller this long is moved: its owner can't be reached. */
     public static final long STRAY_MS = 2_500;
+    /** Failures in a row of one job, all on the same machine, after which that machine is given up though nothing else failed there. */
+    public static final int LONE_FAILURES = 8;
     /** Failures in a row, without a success between, that make a machine suspect. */
     public static final int SICK_FAILURES = 3;
     /** ms. First pause of a job whose tasks fail everywhere; doubles with each failure. */
--- a/src/main/java/io/quincelead/jobs/Job.java
+++ b/src/main/java/io/quincelead/jobs/Job.java
@@ -26,6 +26,8 @@
 
     /** This process's own notes: failures in a row, and the loop time before which no task is to be started. */
     public int failures;
+    /** Machines on which a task of it has failed, as far as this process saw. */
+    public final java.util.Set<String> failedOn = new java.util.HashSet<>(2);
     public long notBefore;
     /** Machines types on which a task of it has completed or run well; used to tell faulty machines from faulty jobs. */
     public int successes;
--- a/src/main/java/io/quincelead/placing/Placer.java
+++ b/src/main/java/io/quincelead/placing/Placer.java
@@ -117,10 +117,17 @@
                 continue;
             }
             List<Tebas.Seat> seats = null;
+            double clock = operator.frequency().getOrDefault(kind.shape.label(), 1.0);
+            // Where the time to reach a worker doesn't count, a kind's machines differ by the image alone.
+            boolean urgent = s.urgency().ordinal() <= JobSpec.Urgency.HIGH.ordinal();
+            double with = Tebas.fitness(operator.alpha(), s.vcpus(), frequency(s, kind, clock, true, 0));
+            double without = Tebas.fitness(operator.alpha(), s.vcpus(), frequency(s, kind, clock, false, 0));
             for (Room r : kind.rooms) {
                 int cap = blockOnly && !r.inBlock || !r.open() ? 0 : r.cap(s) - (spread.isEmpty() ? 0 : spread.getOrDefault(r.host, 0));
                 if (cap > 0) {
-                    double fitness = Tebas.fitness(operator.alpha(), s.vcpus(), frequency(s, r));
+                    boolean image = images.has(r.host, s.container());
+                    double fitness = !urgent || r.reachS <= 0 ? image ? with : without
+                            : Tebas.fitness(operator.alpha(), s.vcpus(), frequency(s, kind, clock, image, r.reachS));
                     seats = seats == null ? byZone.computeIfAbsent(kind.site, z -> new ArrayList<>()) : seats;
                     seats.add(new Tebas.Seat(r.host, fitness, cap, cap));
                 }
@@ -133,12 +140,10 @@
      * The machine's frequency as this task gets to feel it: while its image is fetched, nothing runs. Where fetches take
      * as long as the tasks themselves, the paper's gain of a machine is mostly a matter of who has the image.
      */
-    private double frequency(JobSpec s, Room r) {
-        double clock = operator.frequency().getOrDefault(r.kind.shape.label(), 1.0);
-        double fetchS = images.has(r.host, s.container()) ? 0 : s.sizeGb() / Math.max(r.kind.shape.pullGbPerS(), 0.01);
+    private static double frequency(JobSpec s, Room.Kind kind, double clock, boolean image, double waitS) {
+        double fetchS = image ? 0 : s.sizeGb() / Math.max(kind.shape.pullGbPerS(), 0.01);
         double runS = s.service() ? Constants.SERVICE_RANK_S : Math.max(s.runtimeS(), 1);
         // Where workers report seldom, whose answer is still open matters as well to work that should start at once.
-        double waitS = s.urgency().ordinal() <= JobSpec.Urgency.HIGH.ordinal() ? r.reachS : 0;
         return clock * runS / (runS + fetchS + waitS);
     }
 
--- a/src/main/java/io/quincelead/placing/Tebas.java
+++ b/src/main/java/io/quincelead/placing/Tebas.java
@@ -41,7 +41,7 @@
         cap = cpu > 0 ? Math.min(cap, (freeCpu + 1e-9) / cpu) : cap;
         cap = ram > 0 ? Math.min(cap, (freeRam + 1e-9) / ram) : cap;
         cap = gpu > 0 ? Math.min(cap, (freeGpu + 1e-9) / gpu) : cap;
-        return (int) Math.max(0, Math.floor(cap));
+        return (int) Math.max(0, cap);
     }
 
     /** Assigns up to {@code tasks} tasks; returns how many found no room. */
@@ -85,7 +85,11 @@
 
     /** The machines by descending Fitness; of many, only as many as the job has tasks: the pass gets no further. */
     private static List<Seat> first(List<Seat> machines, int tasks) {
-        if (tasks >= machines.size() / 2 || machines.stream().anyMatch(m -> m.remainCap <= 0)) {
+        boolean all = tasks >= machines.size() / 2;
+        for (int i = 0; !all && i < machines.size(); i++) {
+            all = machines.get(i).remainCap <= 0;
+        }
+        if (all) {
             List<Seat> sorted = new ArrayList<>(machines);
             sorted.sort(Tebas::order);
             return sorted;
--- a/src/main/java/io/quincelead/workers/Desk.java
+++ b/src/main/java/io/quincelead/workers/Desk.java
@@ -484,9 +484,12 @@
         o.failuresInRow++;
         o.failedJobs.add(job.spec.id());
         job.failures++;
+        job.failedOn.add(o.host);
         // What others saw end well counts too: this process may be new.
         if (job.successes == 0 && job.doneCount() == 0 && job.failures >= 2 && o.failedJobs.size() == 1) {
-            o.failuresInRow = Math.min(o.failuresInRow, Constants.SICK_FAILURES - 1);
+            // Where it has failed often and on no other machine, nothing will ever show whose fault it is: once, the machine goes.
+            boolean lone = job.failedOn.size() == 1 && job.failures >= Constants.LONE_FAILURES;
+            o.failuresInRow = lone ? Constants.SICK_FAILURES : Math.min(o.failuresInRow, Constants.SICK_FAILURES - 1);
         }
         if (job.failures >= 2) {
             long pause = Constants.JOB_BACKOFF_MS << Math.min(job.failures - 2, 10);
--- a/src/test/java/io/quincelead/world/DaysTest.java
+++ b/src/test/java/io/quincelead/world/DaysTest.java
@@ -420,6 +420,19 @@
         assertEquals(150, w.cloud.rented());
     }
 
+    /** The one machine that a job may run on failed everything, and since nothing else ran there, the job was blamed for ever. */
+    @Test void aJobWhoseOnlyMachineIsSickGetsAnother() {
+        World w = new World(41, List.of(new Cloud.Shape("small", 8, 0, 32, 0.4, 0.15, 5, List.of("a"), 3)));
+        w.start();
+        w.sim.after(3_000, () -> w.submit(Jobs.array(1, "red", JobSpec.Urgency.NORMAL, 1, 2, 10)));
+        for (long t = 4_000; t < 40_000; t += 100) {
+            w.sim.after(t, () -> w.cloud.machines.values().forEach(m -> m.sick |= m.host.equals("i-000001")));
+        }
+        w.sim.run(300_000);
+        assertAllDone(w, 1);
+        assertTrue(w.starts.get("wk-000001") > 4, "it failed at first: " + w.starts);
+    }
+
     @Test void aJobThatFailsEverywhereDoesNotCostTheFleet() {
         World w = new World(9);
         w.start();
