--- a/src/main/java/io/quincelead/leader/Blocks.java
+++ b/src/main/java/io/quincelead/leader/Blocks.java
@@ -25,6 +25,11 @@
     /** What a team may use: CPUs and GPUs. */
     public record Amount(double cpus, double gpus) {
         public static final Amount NONE = new Amount(0, 0);
+
+        /** What is left when tasks on record move to another controller with their job: their use moves out with them. */
+        public Amount without(int tasks, double taskCpus, double taskGpus) {
+            return new Amount(Math.max(0, cpus - tasks * taskCpus), Math.max(0, gpus - tasks * taskGpus));
+        }
     }
 
     /** A block: the machines leased to a controller, each with its term (the token), and its share of the teams' limits. */
--- a/src/main/java/io/quincelead/leader/Leader.java
+++ b/src/main/java/io/quincelead/leader/Leader.java
@@ -16,7 +16,6 @@
 import io.quincelead.workers.Desk;
 import io.quincelead.workers.MachineTable;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -408,14 +407,9 @@
     }
 
     private double[] split(double limit, double dead, java.util.Set<String> members, Map<String, Demand> demand, boolean cpus, String team) {
-        int n = members.size();
-        double[] now = new double[n];
-        double[] use = new double[n];
-        double[][] want = new double[n][];
-        double[] wants = new double[n];
-        double used = dead;
-        double committed = dead;
-        boolean unmet = false;
+        double[] now = new double[members.size()];
+        double[] use = new double[members.size()];
+        double[][] want = new double[members.size()][];
         boolean fresh = false;
         int i = 0;
         for (String m : members) {
@@ -425,48 +419,9 @@
             now[i] = cpus ? a.cpus() : a.gpus();
             use[i] = cpus ? d.useCpu : d.useGpu;
             want[i] = cpus ? d.wantCpu : d.wantGpu;
-            wants[i] = Arrays.stream(want[i]).sum();
-            used += use[i];
-            committed += Math.max(now[i], use[i]);
-            unmet |= wants[i] > 0 && now[i] - use[i] < wants[i] - 1e-9;
             i++;
         }
-        double rest = Math.max(0, limit - used);
-        if (!unmet && !fresh) {
-            return now;
-        }
-        double[] target = use.clone();
-        // The more urgent wants come first: shared evenly, a large low job would keep an urgent gang from ever fitting.
-        for (int u = 0; u < JobSpec.Urgency.values().length; u++) {
-            double wanted = 0;
-            for (i = 0; i < n; i++) {
-                wanted += want[i][u];
-            }
-            double given = Math.min(rest, wanted);
-            for (i = 0; i < n && wanted > 0; i++) {
-                target[i] += given * want[i][u] / wanted;
-            }
-            rest -= given;
-        }
-        for (i = 0; i < n; i++) {
-            target[i] += rest / n;
-        }
-        double free = Math.max(0, limit - committed);
-        double growth = 0;
-        for (i = 0; i < n; i++) {
-            growth += Math.max(0, target[i] - Math.max(now[i], use[i]));
-        }
-        double[] out = new double[n];
-        for (i = 0; i < n; i++) {
-            // Records may show ends late and so, for a while, more use than there is; nobody's allowance rises by that.
-            double held = committed > limit + 1e-6 ? now[i] : Math.max(now[i], use[i]);
-            out[i] = target[i] <= held ? target[i] : held + (growth <= 0 ? 0 : (target[i] - held) * Math.min(1, free / growth));
-            boolean enough = wants[i] <= 0 || now[i] - use[i] > Constants.ALLOWANCE_NEAR * limit;
-            if (now[i] > 0 && Math.abs(out[i] - now[i]) < Math.max(Constants.ALLOWANCE_STEP, enough ? Constants.ALLOWANCE_NEAR * limit : 0)) {
-                out[i] = Math.min(now[i], Math.max(out[i], now[i]));
-            }
-        }
-        return out;
+        return Allowances.split(limit, dead, now, use, want, fresh);
     }
 
     // ---- jobs of lost controllers
--- a/src/main/java/io/quincelead/placing/Rounds.java
+++ b/src/main/java/io/quincelead/placing/Rounds.java
@@ -430,9 +430,7 @@
             plan.txn.guard(job.key(), mirror.stamp(job.key())).put(job.key(), job.encode(to, 0));
             if (job.placedCount() > 0) {
                 Blocks.Amount a = block.allowance(job.spec.owner());
-                block.allowances().put(job.spec.owner(), new Blocks.Amount(
-                        Math.max(0, a.cpus() - job.placedCount() * job.spec.vcpus()),
-                        Math.max(0, a.gpus() - job.placedCount() * job.spec.cards())));
+                block.allowances().put(job.spec.owner(), a.without(job.placedCount(), job.spec.vcpus(), job.spec.cards()));
                 rewritten = true;
             }
         }
