A full change places the jobs that enter with it; last bits of allowances only where little is lacking

Change: a job whose record is in the change is placed though it is full; last bits are taken back only where they would serve somebody.

--- a/src/main/java/io/quincelead/leader/Allowances.java
+++ b/src/main/java/io/quincelead/leader/Allowances.java
@@ -37,14 +37,14 @@
             double held = committed > limit + 1e-6 ? now[i] : Math.max(now[i], use[i]);
             out[i] = Math.min(target[i], held);
         }
-        boolean shortOf = grow(out, stages, now, use, free);
+        boolean lacksLittle = grow(out, stages, now, use, free, n * Constants.ALLOWANCE_NEAR * limit);
         for (int i = 0; i < n; i++) {
             boolean enough = wants[i] <= 0 || now[i] - use[i] > Constants.ALLOWANCE_NEAR * limit;
             boolean completes = false;
             for (double[] stage : stages) {
                 completes |= now[i] < stage[i] - 1e-9 && now[i] - use[i] < wants[i] - 1e-9 && out[i] >= stage[i] - 1e-9;
             }
-            if (now[i] > 0 && Math.abs(out[i] - now[i]) < least(limit, enough, completes || shortOf && out[i] < now[i])) {
+            if (now[i] > 0 && Math.abs(out[i] - now[i]) < least(limit, enough, completes || lacksLittle && out[i] < now[i])) {
                 out[i] = now[i];
             }
         }
@@ -63,9 +63,12 @@
         return Math.max(Constants.ALLOWANCE_STEP, enough ? Constants.ALLOWANCE_NEAR * limit : 0);
     }
 
-    /** Gives out what is free, the more urgent wants first; returns whether it was too little. */
-    private static boolean grow(double[] out, double[][] stages, double[] now, double[] use, double free) {
-        boolean tooLittle = false;
+    /**
+     * Gives out what is free, the more urgent wants first; returns whether little was lacking, so that the last bits which
+     * others hold would serve somebody. Where much is lacking, small changes would only rewrite blocks all the time.
+     */
+    private static boolean grow(double[] out, double[][] stages, double[] now, double[] use, double free, double little) {
+        boolean lacksLittle = false;
         double left = free;
         for (double[] stage : stages) {
             double[] more = new double[out.length];
@@ -74,14 +77,14 @@
             }
             double growth = Arrays.stream(more).sum();
             double share = growth <= left ? 1 : left / growth;
-            tooLittle |= growth > left + 1e-9;
+            lacksLittle |= growth > left + 1e-9 && growth <= left + little;
             for (int i = 0; i < out.length; i++) {
                 // From what it holds, which it may use already, up to this stage's part of its target.
                 out[i] = more[i] <= 0 || share <= 0 ? out[i] : Math.max(out[i], Math.max(now[i], use[i])) + more[i] * share;
             }
             left -= growth * share;
         }
-        return tooLittle;
+        return lacksLittle;
     }
 
     /**
--- a/src/main/java/io/quincelead/placing/Plan.java
+++ b/src/main/java/io/quincelead/placing/Plan.java
@@ -63,6 +63,16 @@
         return edits.size() >= most(changes, blocks, txnOps);
     }
 
+    /** Whether a record of the job is in the change already. */
+    boolean holds(Job job) {
+        for (int k = 0; k < job.chunks.length; k++) {
+            if (edits.containsKey(job.chunk(k))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     Room.Kind kind(Catalog.Shape shape, String site, boolean spot) {
         return kinds.computeIfAbsent(List.of(shape.label(), site, spot), k -> new Room.Kind(shape, site, spot));
     }
--- a/src/main/java/io/quincelead/placing/QueuePass.java
+++ b/src/main/java/io/quincelead/placing/QueuePass.java
@@ -187,11 +187,13 @@
                 ended = true;
                 ends.record(plan);
             }
-            if (plan.full()) {
-                // Nothing more can be recorded: the next round goes on here, with what has changed until then.
+            if (plan.full() && !plan.holds(job)) {
+                // No further record fits, but those in the change may hold more: a job that enters with it gets its places at once.
                 plan.truncated = true;
-                stuckSince.keySet().stream().filter(j -> jobs.get(j.spec.id()) == j).forEach(stuck::add);
-                break;
+                if (stuckSince.containsKey(job)) {
+                    stuck.add(job);
+                }
+                continue;
             }
             if (!lowDue && low) {
                 stuck.add(job);
--- a/src/test/java/io/quincelead/placing/QueuePassTest.java
+++ b/src/test/java/io/quincelead/placing/QueuePassTest.java
@@ -126,4 +126,18 @@
         assertEquals(2, Cluster.byMachine(with, next).values().stream().mapToInt(n -> n).sum());
         assertTrue(with.edits.containsKey(c.jobs.get(ended.id()).chunks[0]));
     }
+
+    /** A change that was full of jobs entering with it once placed none of them: each waited for a second change. */
+    @Test void jobsThatEnterWithAFullChangeArePlacedByIt() {
+        Cluster c = new Cluster(20, new SplittableRandom(3));
+        List<JobSpec> specs = new ArrayList<>();
+        for (int i = 1; i <= 12; i++) {
+            specs.add(c.waiting(Jobs.array(i, "red", JobSpec.Urgency.HIGH, 1, 1, 10)));
+        }
+        Plan plan = c.plan(12);
+        specs.forEach(s -> plan.edit(c.jobs.get(s.id()), 0));
+        assertTrue(plan.full());
+        c.pass.place(plan, null, c.noEnds);
+        specs.forEach(s -> assertEquals(1, Cluster.byMachine(plan, s).size()));
+    }
 }
