A chunk's places are slots; worker lists are kept by task; keys of chunks are made once

Change: places are an array by task (jobs/Places), read from bytes in one pass; a report's entries are chained by task and compared by number instead of by a joined text; keys of jobs and chunks are made once. Ruled out: an open-addressing map of primitives (keys come out of order, and records must list tasks in order).

--- a/src/main/java/io/quincelead/cloud/Demand.java
+++ b/src/main/java/io/quincelead/cloud/Demand.java
@@ -156,7 +156,7 @@
                 if (c == null) {
                     continue;
                 }
-                for (Placement p : c.placed.values()) {
+                for (Placement p : c.placed) {
                     if (!p.over()) {
                         inUse += s.vcpus();
                         double ran = (now - p.since) / 1000.0;
--- a/src/main/java/io/quincelead/jobs/Chunk.java
+++ b/src/main/java/io/quincelead/jobs/Chunk.java
@@ -6,9 +6,9 @@
 import io.quincelead.app.Constants;
 import io.quincelead.net.Codec;
 import io.quincelead.state.Keys;
+import java.nio.charset.StandardCharsets;
 import java.util.BitSet;
 import java.util.Collection;
-import java.util.TreeMap;
 
 /** The recorded states of up to {@link Constants#CHUNK_TASKS} tasks of a job: done, placed, or else pending. */
 public final class Chunk {
@@ -19,10 +19,12 @@
     /** The highest attempt used so far. */
     public final long lastTry;
     public final BitSet done;
-    public final TreeMap<Integer, Placement> placed;
+    public final Places placed;
+    private final String key;
 
-    Chunk(Job job, int number, long lastTry, BitSet done, TreeMap<Integer, Placement> placed) {
+    private Chunk(Job job, int number, String key, long lastTry, BitSet done, Places placed) {
         this.job = job;
+        this.key = key;
         this.number = number;
         this.lastTry = lastTry;
         this.done = done;
@@ -30,21 +32,30 @@
     }
 
     static Chunk empty(Job job, int number) {
-        return new Chunk(job, number, 0, new BitSet(), new TreeMap<>());
+        return new Chunk(job, number, job.single() ? job.key() : key(job.spec.id(), number), 0, new BitSet(), new Places(number * Constants.CHUNK_TASKS, size(job, number)));
     }
 
     /** The record it is kept in: the job's own, if one chunk is all there is. */
     public String key() {
-        return job.single() ? job.key() : Keys.CHUNK + job.spec.id() + "/" + String.format("%04d", number);
+        return key;
     }
 
+    /** Four digits, so that a job's chunks are listed in their order. */
+    private static String key(String job, int number) {
+        String digits = Integer.toString(number);
+        return Keys.CHUNK + job + "/" + "0".repeat(Math.max(0, 4 - digits.length())) + digits;
+    }
 
     public int first() {
         return number * Constants.CHUNK_TASKS;
     }
 
     public int size() {
-        return Math.min(Constants.CHUNK_TASKS, job.spec.members() - first());
+        return size(job, number);
+    }
+
+    private static int size(Job job, int number) {
+        return Math.min(Constants.CHUNK_TASKS, job.spec.members() - number * Constants.CHUNK_TASKS);
     }
 
     public int pending() {
@@ -53,7 +64,7 @@
 
     /** Whether the task waits for a place on record. */
     public boolean wasPending(int index) {
-        return !placed.containsKey(index) && !done.get(index - first());
+        return !placed.has(index) && !done.get(index - first());
     }
 
     public Edit edit() {
@@ -66,31 +77,32 @@
         for (int i = 0; i + 1 < d.size(); i += 2) {
             done.set(d.get(i).asInt(), d.get(i + 1).asInt());
         }
-        TreeMap<Integer, Placement> placed = new TreeMap<>();
-        String p = places(n.path("p"));
+        Places placed = new Places(number * Constants.CHUNK_TASKS, size(job, number));
+        String text = places(n.path("p"));
+        byte[] p = text.getBytes(StandardCharsets.ISO_8859_1);
         int first = number * Constants.CHUNK_TASKS;
-        for (int at = 0; at < p.length();) {
-            int index = first + (int) number(p, at, p.indexOf(' ', at));
-            int host = p.indexOf(' ', at) + 1;
-            int afterHost = p.indexOf(' ', host);
-            int end = p.indexOf(';', afterHost);
-            boolean stop = p.charAt(end - 1) == STOP;
-            long attempt = number(p, afterHost + 1, stop ? end - 1 : end);
-            at = end + 1;
+        for (int at = 0; at < p.length;) {
+            int host = after(p, at, ' ');
+            int index = first + (int) number(p, at, host - 1);
+            int attemptAt = after(p, host, ' ');
+            int end = after(p, attemptAt, ';');
+            boolean stop = p[end - 2] == STOP;
+            long attempt = number(p, attemptAt, stop ? end - 2 : end - 1);
+            at = end;
             Placement old = before == null ? null : before.placed.get(index);
-            boolean same = old != null && old.attempt == attempt && old.host.length() == afterHost - host && p.startsWith(old.host, host);
+            boolean same = old != null && old.attempt == attempt && old.host.length() == attemptAt - 1 - host && text.startsWith(old.host, host);
             if (same && old.stop == stop) {
                 // Most of a chunk is as before: nothing to make, nothing to index.
-                placed.put(index, old);
+                placed.put(old);
                 continue;
             }
-            Placement next = new Placement(job, index, same ? old.host : p.substring(host, afterHost), attempt, stop, now);
+            Placement next = new Placement(job, index, same ? old.host : text.substring(host, attemptAt - 1), attempt, stop, now);
             if (same) {
                 next.inherit(old);
             }
-            placed.put(index, next);
+            placed.put(next);
         }
-        return new Chunk(job, number, n.path("t").asLong(), done, placed);
+        return new Chunk(job, number, job.empty(number).key, n.path("t").asLong(), done, placed);
     }
 
     /** The recorded places as one text: {@code index host attempt;} a task. Before version 0.2 they were lists of four values. */
@@ -106,22 +118,43 @@
         return text.toString();
     }
 
-    private static long number(String text, int from, int to) {
-        return Long.parseLong(text, from, to, 10);
+    /** Behind the next such mark; a text that has none any more is an {@link IndexOutOfBoundsException}. */
+    private static int after(byte[] text, int from, char mark) {
+        int at = from;
+        while (text[at] != mark) {
+            at++;
+        }
+        return at + 1;
+    }
+
+    /** A number in decimal digits. */
+    private static long number(byte[] text, int from, int to) {
+        if (from >= to) {
+            throw new NumberFormatException("a number is missing");
+        }
+        long n = 0;
+        for (int i = from; i < to; i++) {
+            int digit = text[i] - '0';
+            if (digit < 0 || digit > 9 || n > Long.MAX_VALUE / 10 - 1) {
+                throw new NumberFormatException("not a number");
+            }
+            n = n * 10 + digit;
+        }
+        return n;
     }
 
     /** A planned change of a chunk. It becomes real only when the store has confirmed it. */
     public static final class Edit {
         private final Chunk chunk;
         private final BitSet done;
-        private final TreeMap<Integer, Placement> placed;
+        private final Places placed;
         private long lastTry;
         private boolean changed;
 
         private Edit(Chunk chunk) {
             this.chunk = chunk;
             this.done = (BitSet) chunk.done.clone();
-            this.placed = new TreeMap<>(chunk.placed);
+            this.placed = new Places(chunk.placed);
             this.lastTry = chunk.lastTry;
         }
 
@@ -134,7 +167,7 @@
         }
 
         public boolean pending(int index) {
-            return !placed.containsKey(index) && !done.get(index - chunk.first());
+            return !placed.has(index) && !done.get(index - chunk.first());
         }
 
         /**
@@ -156,7 +189,7 @@
 
         /** Where the plan leaves or puts tasks. */
         public Collection<Placement> holding() {
-            return placed.values();
+            return placed;
         }
 
         /** Whether the plan leaves the task running: not over, and not told to stop. */
@@ -177,7 +210,7 @@
         }
 
         public void place(int index, String host, long attempt) {
-            placed.put(index, new Placement(chunk.job, index, host, attempt, false, 0));
+            placed.put(new Placement(chunk.job, index, host, attempt, false, 0));
             lastTry = Math.max(lastTry, attempt);
             changed = true;
         }
@@ -187,7 +220,7 @@
             if (p == null) {
                 return;
             }
-            placed.put(index, new Placement(p.job, p.index, p.host, p.attempt, true, p.since));
+            placed.put(new Placement(p.job, p.index, p.host, p.attempt, true, p.since));
             changed = true;
         }
 
@@ -202,7 +235,7 @@
         return encode(first(), lastTry, done, placed);
     }
 
-    private static ObjectNode encode(int first, long lastTry, BitSet done, TreeMap<Integer, Placement> placed) {
+    private static ObjectNode encode(int first, long lastTry, BitSet done, Places placed) {
         ObjectNode n = Codec.map().put("t", lastTry);
         ArrayNode d = n.putArray("d");
         for (int from = done.nextSetBit(0); from >= 0;) {
@@ -212,7 +245,7 @@
         }
         // One text instead of four values a task: every controller reads every change, and this is most of what it reads.
         StringBuilder p = new StringBuilder(placed.size() * 16);
-        for (Placement x : placed.values()) {
+        for (Placement x : placed) {
             p.append(x.index - first).append(' ').append(x.host).append(' ').append(x.attempt);
             if (x.stop) {
                 p.append(STOP);
--- a/src/main/java/io/quincelead/jobs/Job.java
+++ b/src/main/java/io/quincelead/jobs/Job.java
@@ -9,6 +9,7 @@
 /** An unfinished job as the store has it. */
 public final class Job {
     public final JobSpec spec;
+    private final String key;
     /** The controller that places its tasks. */
     public String controller;
     /** Time of day in ms at which it was accepted. */
@@ -34,6 +35,7 @@
 
     Job(JobSpec spec) {
         this.spec = spec;
+        this.key = Keys.JOB + spec.id();
         this.chunks = new Chunk[(spec.members() + Constants.CHUNK_TASKS - 1) / Constants.CHUNK_TASKS];
         this.empty = new Chunk[chunks.length];
         for (int k = 0; k < empty.length; k++) {
@@ -49,7 +51,7 @@
     }
 
     public String key() {
-        return Keys.JOB + spec.id();
+        return key;
     }
 
     public boolean cancelled() {
@@ -81,8 +83,8 @@
 
     /** Keeps the counts of evidence in step with a placement that is on record. */
     void count(Placement p, int by) {
-        Chunk c = chunks[p.index / Constants.CHUNK_TASKS];
-        if (p.over() && c != null && c.placed.get(p.index) == p) {
+        Chunk c = p.over() ? chunks[p.index / Constants.CHUNK_TASKS] : null;
+        if (c != null && c.placed.get(p.index) == p) {
             seenDone += p.phase() == Placement.Phase.DONE ? by : 0;
             seenGone += p.phase() == Placement.Phase.GONE ? by : 0;
         }
@@ -100,10 +102,15 @@
         return chunks[number] == null ? empty[number] : chunks[number];
     }
 
+    /** A chunk as it is before it has a record. */
+    Chunk empty(int number) {
+        return empty[number];
+    }
+
     void set(int number, Chunk next) {
         Chunk old = chunks[number];
         if (old != null) {
-            old.placed.values().forEach(p -> count(p, -1));
+            old.placed.forEach(p -> count(p, -1));
             done -= old.done.cardinality();
             placed -= old.placed.size();
         }
@@ -111,7 +118,7 @@
         if (next != null) {
             done += next.done.cardinality();
             placed += next.placed.size();
-            next.placed.values().forEach(p -> count(p, 1));
+            next.placed.forEach(p -> count(p, 1));
         }
     }
 
--- a/src/main/java/io/quincelead/jobs/JobTable.java
+++ b/src/main/java/io/quincelead/jobs/JobTable.java
@@ -133,7 +133,7 @@
         if (job.cancelled() && !wasCancelled) {
             for (Chunk c : job.chunks) {
                 if (c != null) {
-                    for (Placement p : c.placed.values()) {
+                    for (Placement p : c.placed) {
                         p.load.touch();
                         onTouched.accept(p.host);
                     }
@@ -154,7 +154,7 @@
                 if (!job.single()) {
                     orphans.add(c.key());
                 }
-                for (Placement p : c.placed.values()) {
+                for (Placement p : c.placed) {
                     unindex(p);
                     onTouched.accept(p.host);
                 }
@@ -197,19 +197,19 @@
             return;
         }
         if (before != null) {
-            for (Placement p : before.placed.values()) {
+            for (Placement p : before.placed) {
                 if (next != null && next.placed.get(p.index) == p) {
                     continue;
                 }
                 unindex(p);
-                if (next == null || !next.placed.containsKey(p.index)) {
+                if (next == null || !next.placed.has(p.index)) {
                     onTouched.accept(p.host);
                 }
             }
         }
         job.set(number, next);
         if (next != null) {
-            for (Placement p : next.placed.values()) {
+            for (Placement p : next.placed) {
                 Placement old = before == null ? null : before.placed.get(p.index);
                 if (old == p) {
                     continue;
--- a/src/main/java/io/quincelead/placing/Placer.java
+++ b/src/main/java/io/quincelead/placing/Placer.java
@@ -160,7 +160,7 @@
             if (c == null) {
                 continue;
             }
-            count(out, c.placed.values().stream().filter(p -> plan.edits.get(c) == null));
+            count(out, c.placed.stream().filter(p -> plan.edits.get(c) == null));
         }
         for (int k = 0; k < job.chunks.length; k++) {
             Chunk.Edit e = plan.edits.get(job.chunk(k));
--- a/src/main/java/io/quincelead/placing/Plan.java
+++ b/src/main/java/io/quincelead/placing/Plan.java
@@ -100,7 +100,7 @@
             }
             e = c.edit();
             edits.put(c, e);
-            for (Placement p : c.placed.values()) {
+            for (Placement p : c.placed) {
                 if (p.phase() == Placement.Phase.DONE && !job.spec.service()) {
                     e.done(p.index);
                 } else if (p.over()) {
@@ -138,7 +138,7 @@
     private static int waiting(Chunk c) {
         int n = c.pending();
         if (!c.job.spec.gang()) {
-            for (Placement p : c.placed.values()) {
+            for (Placement p : c.placed) {
                 n += p.phase() == Placement.Phase.GONE ? 1 : 0;
             }
         }
--- a/src/main/java/io/quincelead/placing/Rounds.java
+++ b/src/main/java/io/quincelead/placing/Rounds.java
@@ -161,7 +161,7 @@
         boolean patient = gone && p.job.spec.urgency() == JobSpec.Urgency.BEST_EFFORT && store.pressure() > Constants.PRESSED;
         boolean soon = gone && !patient || p.job.spec.gang() || p.job.cancelled();
         int number = p.index / Constants.CHUNK_TASKS;
-        boolean told = queue.leaderCouldUse(p.host) || !ours && p.job.chunk(number).placed.values().stream().allMatch(Placement::over);
+        boolean told = queue.leaderCouldUse(p.host) || !ours && p.job.chunk(number).placed.stream().allMatch(Placement::over);
         long pause = soon ? 0 : told ? Constants.END_TELL_MS
                 : store.paced(ours ? Constants.END_GATHER_MS : Constants.END_TELL_MS, Constants.END_GATHER_MAX_MS);
         ended.merge(new Ref(p.job, number), loop.now() + pause, Math::min);
@@ -278,14 +278,14 @@
         for (Map.Entry<Ref, Long> x : new ArrayList<>(ended.entrySet())) {
             Ref ref = x.getKey();
             Chunk c = jobs.get(ref.job.spec.id()) == ref.job ? ref.job.chunks[ref.chunk] : null;
-            if (c == null || c.placed.values().stream().noneMatch(Placement::over)) {
+            if (c == null || c.placed.stream().noneMatch(Placement::over)) {
                 ended.remove(ref);
             } else if (x.getValue() <= now) {
                 Chunk.Edit e = plan.edit(ref.job, ref.chunk);
                 if (e == null) {
                     return;
                 }
-                if (ref.job.spec.gang() && c.placed.values().stream().anyMatch(p -> p.phase() == Placement.Phase.DONE)) {
+                if (ref.job.spec.gang() && c.placed.stream().anyMatch(p -> p.phase() == Placement.Phase.DONE)) {
                     gangDone(plan, ref.job);
                 }
             }
@@ -322,7 +322,7 @@
             }
             boolean broken = job.placedCount() + job.doneCount() < job.spec.members();
             for (Chunk c : job.chunks) {
-                for (Placement p : c == null ? List.<Placement>of() : c.placed.values()) {
+                for (Placement p : c == null ? List.<Placement>of() : c.placed) {
                     broken |= p.stop || p.phase() == Placement.Phase.GONE;
                 }
             }
@@ -334,7 +334,7 @@
 
     private void stopAll(Plan plan, Job job) {
         for (Chunk c : job.chunks) {
-            for (Placement p : c == null ? List.<Placement>of() : c.placed.values()) {
+            for (Placement p : c == null ? List.<Placement>of() : c.placed) {
                 stop(plan, p);
             }
         }
--- a/src/main/java/io/quincelead/workers/Desk.java
+++ b/src/main/java/io/quincelead/workers/Desk.java
@@ -67,6 +67,46 @@
         LEAVING
     }
 
+    /** An attempt as a worker's list shows it, and the next one of the same task; those that are not over come first. */
+    private static final class Shown {
+        final String member;
+        final long attempt;
+        final String status;
+        final String reason;
+        Shown next;
+
+        Shown(JsonNode t) {
+            member = t.path("member").asText();
+            attempt = t.path("try").asLong();
+            status = t.path("status").asText();
+            reason = t.path("exitReason").asText();
+        }
+
+        boolean ended() {
+            return status.equals("ended");
+        }
+
+        /** The entry of this attempt among those of the task; null: not shown. */
+        static Shown of(Shown task, long attempt) {
+            Shown t = task;
+            while (t != null && t.attempt != attempt) {
+                t = t.next;
+            }
+            return t;
+        }
+
+        /** Puts another entry of the task among them and returns the first. */
+        Shown with(Shown other) {
+            if (!ended() && other.ended()) {
+                other.next = next;
+                next = other;
+                return this;
+            }
+            other.next = this;
+            return other;
+        }
+    }
+
     /** A machine of our block and what we know of it under the current term. */
     public final class Own {
         public final String host;
@@ -89,7 +129,7 @@
         int failuresInRow;
         final Set<String> failedJobs = new HashSet<>();
         long fullUntil;
-        Map<String, JsonNode> list = Map.of();
+        Map<String, Shown> list = Map.of();
         Request parked;
         long parkedUntil;
         boolean parkedIdle;
@@ -397,23 +437,23 @@
             o.become(Phase.FENCED);
             office.wake();
         }
-        Map<String, JsonNode> list = new HashMap<>();
-        for (JsonNode t : body.path("members")) {
-            String key = t.path("member").asText();
-            JsonNode other = list.get(key);
-            if (other == null || other.path("status").asText().equals("ended")) {
-                list.put(key, t);
+        JsonNode members = body.path("members");
+        Map<String, Shown> list = new HashMap<>(members.size() * 2);
+        for (JsonNode t : members) {
+            Shown shown = new Shown(t);
+            Shown others = list.putIfAbsent(shown.member, shown);
+            if (others != null) {
+                list.put(shown.member, others.with(shown));
             }
-            list.put(key + "#" + t.path("try").asLong(), t);
         }
         o.list = list;
         for (Placement p : jobs.on(o.host).values()) {
-            judge(o, p, list.get(p.name() + "#" + p.attempt));
+            judge(o, p, Shown.of(list.get(p.name()), p.attempt));
         }
         return true;
     }
 
-    private void judge(Own o, Placement p, JsonNode entry) {
+    private void judge(Own o, Placement p, Shown entry) {
         if (p.over()) {
             return;
         }
@@ -430,18 +470,16 @@
             }
             return;
         }
-        String status = entry.path("status").asText();
-        if (!status.equals("ended")) {
+        if (!entry.ended()) {
             p.become(Placement.Phase.SEEN);
-            if (status.equals("running") && p.runningSince == 0) {
+            if (entry.status.equals("running") && p.runningSince == 0) {
                 p.runningSince = loop.now();
             }
-            p.reported = status;
+            p.reported = entry.status;
             return;
         }
-        String reason = entry.path("exitReason").asText();
         Job job = p.job;
-        switch (reason) {
+        switch (entry.reason) {
             case "done" -> {
                 p.become(Placement.Phase.DONE);
                 o.failuresInRow = 0;
@@ -460,8 +498,8 @@
             }
             case "busy" -> {
                 // Another attempt of the task is there: only its end makes the task free to go elsewhere.
-                JsonNode any = o.list.get(p.name());
-                if (any != null && any.path("status").asText().equals("ended")) {
+                Shown any = o.list.get(p.name());
+                if (any != null && any.ended()) {
                     lost(o, p, "refused (busy) by");
                 }
             }
@@ -469,7 +507,7 @@
                 job.notBefore = loop.now() + Constants.JOB_BACKOFF_MS;
                 lost(o, p, "refused (unknown) by");
             }
-            default -> lost(o, p, "stopped (" + reason + ") on");
+            default -> lost(o, p, "stopped (" + entry.reason + ") on");
         }
     }
 
@@ -529,26 +567,21 @@
     private ArrayNode stops(Own o) {
         ArrayNode out = Codec.list();
         Map<String, Placement> recorded = jobs.on(o.host);
-        for (Map.Entry<String, JsonNode> e : o.list.entrySet()) {
-            if (e.getKey().indexOf('#') < 0) {
-                continue;
-            }
-            JsonNode t = e.getValue();
-            String name = t.path("member").asText();
-            long attempt = t.path("try").asLong();
-            Placement p = recorded.get(name);
-            boolean onRecord = p != null && p.attempt == attempt;
-            String status = t.path("status").asText();
-            if (status.equals("ended")) {
-                if (!onRecord) {
-                    out.addObject().put("verb", "clear").put("member", name).put("try", attempt);
+        for (Shown first : o.list.values()) {
+            Placement p = recorded.get(first.member);
+            for (Shown t = first; t != null; t = t.next) {
+                boolean onRecord = p != null && p.attempt == t.attempt;
+                if (t.ended()) {
+                    if (!onRecord) {
+                        out.addObject().put("verb", "clear").put("member", t.member).put("try", t.attempt);
+                    }
+                } else if (!onRecord) {
+                    kill(out, t.member, t.attempt, 0);
+                } else if (!wanted(p) && !t.status.equals("saving")) {
+                    kill(out, t.member, t.attempt, graceS(p));
+                } else if (p.job.cancelled()) {
+                    kill(out, t.member, t.attempt, 0);
                 }
-            } else if (!onRecord) {
-                kill(out, name, attempt, 0);
-            } else if (!wanted(p) && !status.equals("saving")) {
-                kill(out, name, attempt, graceS(p));
-            } else if (p.job.cancelled()) {
-                kill(out, name, attempt, 0);
             }
         }
         return out;
--- a/src/test/java/io/quincelead/placing/QueuePassTest.java
+++ b/src/test/java/io/quincelead/placing/QueuePassTest.java
@@ -89,7 +89,7 @@
                 c.running(Jobs.array(++id, "red", JobSpec.Urgency.NORMAL, 1 + r.nextInt(4), 0.5 + r.nextInt(8) / 2.0, 60), r);
             }
             // Ends that are known but not on record leave room at once.
-            c.jobs.all().forEach(j -> j.chunks[0].placed.values().forEach(p -> {
+            c.jobs.all().forEach(j -> j.chunks[0].placed.forEach(p -> {
                 if (r.nextInt(6) == 0) {
                     p.become(Placement.Phase.DONE);
                 }
@@ -117,7 +117,7 @@
         JobSpec ended = c.running(Jobs.array(1, "red", JobSpec.Urgency.NORMAL, 2, 4, 60), r);
         JobSpec next = c.waiting(Jobs.array(2, "red", JobSpec.Urgency.HIGH, 2, 4, 60));
         c.allowance = 8;
-        c.jobs.get(ended.id()).chunks[0].placed.values().forEach(p -> p.become(Placement.Phase.GONE));
+        c.jobs.get(ended.id()).chunks[0].placed.forEach(p -> p.become(Placement.Phase.GONE));
         Plan without = c.plan(10_000);
         c.pass.place(without, null, c.noEnds);
         assertEquals(Map.of(), Cluster.byMachine(without, next));
