--- a/src/main/java/io/quincelead/net/HttpClient.java
+++ b/src/main/java/io/quincelead/net/HttpClient.java
@@ -37,6 +37,8 @@
     private final XnioIoThread thread;
     private final ByteBufferPool pool = new DefaultByteBufferPool(false, 8 * 1024, 16, 0);
     private final Map<String, Target> targets = new HashMap<>();
+    /** Takes what one reading brings until it is copied, in the same turn of the loop; answers need no buffer of their own. */
+    private final ByteBuffer incoming = ByteBuffer.allocate(8 * 1024);
 
     public HttpClient(Loop loop, XnioIoThread thread) {
         this.loop = loop;
@@ -221,14 +223,13 @@
         int status = exchange.getResponse().getResponseCode();
         boolean close = "close".equalsIgnoreCase(exchange.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION));
         StreamSourceChannel channel = exchange.getResponseChannel();
-        ByteArrayOutputStream out = new ByteArrayOutputStream(512);
-        ByteBuffer buffer = ByteBuffer.allocate(8 * 1024);
+        ByteArrayOutputStream out = new ByteArrayOutputStream(size(exchange.getResponse().getResponseHeaders().getFirst(Headers.CONTENT_LENGTH)));
         ChannelListener<StreamSourceChannel> reader = new ChannelListener<>() {
             @Override public void handleEvent(StreamSourceChannel ch) {
                 try {
                     for (;;) {
-                        buffer.clear();
-                        int n = ch.read(buffer);
+                        incoming.clear();
+                        int n = ch.read(incoming);
                         if (n < 0) {
                             call.finish(status, out.toByteArray(), !close);
                             return;
@@ -238,7 +239,7 @@
                             ch.resumeReads();
                             return;
                         }
-                        out.write(buffer.array(), 0, n);
+                        out.write(incoming.array(), 0, n);
                         if (out.size() > Constants.MAX_ANSWER_BYTES) {
                             throw new IOException("the answer is too large");
                         }
@@ -252,6 +253,15 @@
         reader.handleEvent(channel);
     }
 
+    /** Bytes to keep ready for an answer of the stated length, which is only a hint. */
+    private static int size(String length) {
+        try {
+            return length == null ? 512 : (int) Math.max(0, Math.min(Constants.MAX_BODY_BYTES, Long.parseLong(length)));
+        } catch (NumberFormatException e) {
+            return 512;
+        }
+    }
+
     private void closeIdle() {
         long old = loop.now() - Constants.CLIENT_IDLE_MS;
         targets.values().removeIf(t -> {
