Rounds gather longer while the store's changes are short; a full change is followed at once

Cause: with work waiting, each controller made 15 rounds a second, 250 changes a second in all, the store's limit; a quarter of the commits failed on a chunk that another controller had written since (431 of 637 conflicts in 70 s), and each was planned anew. Change: the gap between rounds grows from 60 to 200 ms with the shortage of changes; a job that is being submitted and a change that was full don't wait; a round that can't be made yet is a state of its own (PUT_OFF), which nobody shortens.

--- a/src/main/java/io/quincelead/app/Constants.java
+++ b/src/main/java/io/quincelead/app/Constants.java
@@ -61,6 +61,9 @@
     // ---- pace (ms)
     /** ms. The least time between two rounds: gathers what comes together into one durable write. */
     public static final long ROUND_GAP_MS = 60;
+    /** ms. The same while the store's changes are short: several changes of a record then share one write, which every controller
+     *  reads once, and a round's own cost is paid less often. */
+    public static final long ROUND_GAP_MAX_MS = 200;
     /** ms. Ends that nobody else waits for are gathered this long: most of a job's tasks end about the same time, and
      *  each record written costs the store a change and every controller a reading. */
     public static final long END_GATHER_MS = 2_000;
--- a/src/main/java/io/quincelead/placing/Rounds.java
+++ b/src/main/java/io/quincelead/placing/Rounds.java
@@ -39,7 +39,16 @@
     private static final Logger LOG = LoggerFactory.getLogger(Rounds.class);
 
     /** States of the round; {@link #become} is the one function that changes them. */
-    private enum Phase { IDLE, DUE, COMMITTING }
+    private enum Phase {
+        /** Nothing to do. */
+        IDLE,
+        /** It runs after the gap. */
+        DUE,
+        /** It was due and could not be made; it is tried again after a pause that nobody shortens. */
+        PUT_OFF,
+        /** Its change is on its way to the store. */
+        COMMITTING
+    }
 
     private final Loop loop;
     private final Settings settings;
@@ -55,7 +64,11 @@
     private Peers peers;
     private Phase phase = Phase.IDLE;
     private boolean again;
+    /** Whether the last plan had more to write than one change holds. */
+    private boolean full;
     private long lastRound;
+    /** When the round that is due runs; far off if none is. A timer that finds another time here is out of date. */
+    private long dueAt = Long.MAX_VALUE;
     private final QueuePass queue;
     /** Chunks with ends that aren't on record, and when they should be. */
     private final Map<Ref, Long> ended = new LinkedHashMap<>();
@@ -141,15 +154,41 @@
 
     /** Something changed: a round follows, together with whatever else comes within the gap. */
     public void wake() {
+        // Who is being submitted isn't kept waiting, nor what a full change had no room for; all else gathers longer while
+        // changes are short, and shares records.
+        wake(full || !newcomers.isEmpty() ? Constants.ROUND_GAP_MS : store.paced(Constants.ROUND_GAP_MS, Constants.ROUND_GAP_MAX_MS));
+    }
+
+    private void wake(long gapMs) {
         if (phase == Phase.IDLE) {
             become(Phase.DUE);
-            loop.after(Math.max(1, lastRound + Constants.ROUND_GAP_MS - loop.now()), this::run);
+        }
+        if (phase == Phase.DUE) {
+            due(lastRound + gapMs);
         } else if (phase == Phase.COMMITTING) {
             // What came after the plan was made isn't in it: evidence would otherwise wait for the next event.
             again = true;
         }
     }
 
+    /** Runs the round then, unless it is to run sooner. */
+    private void due(long at) {
+        if (at >= dueAt) {
+            return;
+        }
+        dueAt = at;
+        loop.after(Math.max(1, at - loop.now()), () -> {
+            if (dueAt == at) {
+                run();
+            }
+        });
+    }
+
+    private void putOff(long ms) {
+        become(Phase.PUT_OFF);
+        due(loop.now() + ms);
+    }
+
     /**
      * There is evidence of an end. It counts here at once; on record it may come later, gathered with others of its
      * chunk, unless somebody else waits to hear of it: the task's next start, another controller, or the leader for room.
@@ -192,10 +231,11 @@
 
     private void run() {
         lastRound = loop.now();
+        dueAt = Long.MAX_VALUE;
         expireNewcomers();
         if (!session.valid() || blocks.mine() == null || !mirror.synced()) {
             // Evidence may be waiting: the round is only put off, or nothing might wake it again.
-            loop.after(Constants.RETRY_MS, this::run);
+            putOff(Constants.RETRY_MS);
             return;
         }
         int changes = Math.min(store.affordable(), store.txnOps());
@@ -204,7 +244,7 @@
             changes = Math.max(changes, Math.min(newcomers.size(), store.txnOps()));
         } else if (changes < Math.min(Math.max(Constants.ROUND_LEAST_CHANGES, queue.gangChanges()), store.txnOps())) {
             // Over our share of the store's limit: a plan made now would be out of date when it may be written.
-            loop.after(Constants.BUSY_PAUSE_MS, this::run);
+            putOff(Constants.BUSY_PAUSE_MS);
             return;
         }
         List<Newcomer> taken = new ArrayList<>();
@@ -220,6 +260,7 @@
             answer(taken, new Txn.Outcome(Txn.Result.REFUSED, 0, Set.of()));
             throw e;
         }
+        full = plan.truncated;
         if (plan.txn.isEmpty()) {
             become(Phase.IDLE);
             settled.run();
