Reports are read from the stream; rounds keep the list of machines; sets instead of scans on hot paths

Change: workers/Report reads a report from its stream and takes nothing that isn't whole; QueuePass keeps the machines it may use until a record of machines or blocks changes; MachineTable keeps the closed ones; only a change full by the store's limit of one transaction is followed without the longer gap. Ruled out: keeping rooms themselves from round to round (fitness changes with time, and there are few rounds now).

--- a/src/main/java/io/quincelead/cloud/Fleet.java
+++ b/src/main/java/io/quincelead/cloud/Fleet.java
@@ -638,7 +638,9 @@
         double spare = capacity.upCpus() - need.keepDear(operator.headroom());
         // Those that run empty soonest come first: a closed machine is paid for until its last task has ended.
         long now = loop.now();
-        up.sort(Comparator.comparing(MachineTable.Machine::spot).thenComparingDouble(m -> emptyInS(m, now)));
+        Map<String, Double> emptyIn = new HashMap<>();
+        up.forEach(m -> emptyIn.put(m.host(), emptyInS(m, now)));
+        up.sort(Comparator.comparing(MachineTable.Machine::spot).thenComparingDouble(m -> emptyIn.get(m.host())));
         for (MachineTable.Machine m : up) {
             double c = catalog.get(m.shape()).vcpus();
             if (leaving.txn.writes() >= Math.min(Constants.CLOSE_WRITES, Math.max(2, store.affordable()))) {
--- a/src/main/java/io/quincelead/leader/Blocks.java
+++ b/src/main/java/io/quincelead/leader/Blocks.java
@@ -74,6 +74,7 @@
     private final List<Runnable> listeners = new ArrayList<>();
     private Lead lead;
     private long term;
+    private long version;
 
     public Blocks(Settings settings, Mirror mirror) {
         this.me = settings.member();
@@ -128,6 +129,7 @@
     }
 
     private void forget(String member) {
+        version++;
         Block old = blocks.remove(member);
         if (old != null) {
             old.machines.keySet().forEach(h -> owners.remove(h, member));
@@ -139,6 +141,11 @@
         listeners.add(listener);
     }
 
+    /** Rises with every change of a block. */
+    public long version() {
+        return version;
+    }
+
     public Block mine() {
         return blocks.get(me);
     }
--- a/src/main/java/io/quincelead/net/Codec.java
+++ b/src/main/java/io/quincelead/net/Codec.java
@@ -1,5 +1,6 @@
 package io.quincelead.net;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -48,6 +49,11 @@
         }
     }
 
+    /** Reads a body piece by piece; the caller closes it. */
+    public JsonParser parser(byte[] body) throws IOException {
+        return mapper.createParser(body);
+    }
+
     public static ObjectNode map() {
         return NODES.objectNode();
     }
--- a/src/main/java/io/quincelead/placing/QueuePass.java
+++ b/src/main/java/io/quincelead/placing/QueuePass.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -66,6 +67,14 @@
     private final Map<Job, Long> stuckSince = new HashMap<>();
     /** When the room of other blocks may be looked at again. */
     private long elsewhereAt;
+    /** Machines on record that this controller may place on, by kind; made anew when a record of machines or blocks has changed. */
+    private final Map<List<Object>, List<Seen>> seen = new LinkedHashMap<>();
+    private long seenMachines = -1;
+    private long seenBlocks = -1;
+    private boolean seenLeading;
+
+    private record Seen(String host, String owner, boolean inBlock) { }
+
     /** Since when there has been room here for a job that waits at the leader. */
     private final Map<Job, Long> leaderSince = new HashMap<>();
 
@@ -127,7 +136,7 @@
             ends.record(plan);
             return;
         }
-        readRooms(plan);
+        readRooms(plan, candidates.stream().anyMatch(j -> j.spec.urgency().ordinal() <= JobSpec.Urgency.HIGH.ordinal()));
         plan.reserve = kinds.urgentCpus(Constants.RESERVE_S) / (plan.leading ? 1 : Math.max(1, blocks.all().size()));
         ahead(plan, chiefWaits);
         walk(plan, candidates, ends);
@@ -327,31 +336,55 @@
         }
     }
 
-    private void readRooms(Plan plan) {
+    /** {@code urgent}: work waits for which it counts how soon a worker can be told. */
+    private void readRooms(Plan plan, boolean urgent) {
+        readMachines(plan);
+        seen.forEach((of, hosts) -> {
+            Catalog.Shape shape = catalog.get((String) of.get(0));
+            if (shape == null) {
+                return;
+            }
+            Room.Kind kind = plan.kind(shape, (String) of.get(1), (Boolean) of.get(2));
+            for (Seen s : hosts) {
+                if (fitness.fit(s.owner, s.host)) {
+                    Room r = new Room(s.host, kind, s.inBlock, jobs.load(s.host));
+                    r.reachS = urgent ? fitness.reachS(s.host) : 0;
+                    plan.add(r);
+                }
+            }
+        });
+        plan.kinds.values().removeIf(k -> k.rooms.isEmpty());
+        plan.kinds.values().forEach(k -> k.sought = kinds.cardsWanted(k.shape, k.site, k.spot));
+    }
+
+    /** Most rounds see the same machines as the one before. */
+    private void readMachines(Plan plan) {
+        if (seenMachines == machines.version() && seenBlocks == blocks.version() && seenLeading == plan.leading) {
+            return;
+        }
+        seenMachines = machines.version();
+        seenBlocks = blocks.version();
+        seenLeading = plan.leading;
+        seen.clear();
         Map<String, Long> mine = plan.block.machines();
         if (plan.leading) {
             for (MachineTable.Machine m : machines.all()) {
-                readRoom(plan, m, mine.containsKey(m.host()));
+                readMachine(m, mine.containsKey(m.host()));
             }
         } else {
             for (String host : mine.keySet()) {
                 MachineTable.Machine m = machines.get(host);
                 if (m != null) {
-                    readRoom(plan, m, true);
+                    readMachine(m, true);
                 }
             }
         }
-        plan.kinds.values().forEach(k -> k.sought = kinds.cardsWanted(k.shape, k.site, k.spot));
     }
 
-    private void readRoom(Plan plan, MachineTable.Machine m, boolean inBlock) {
-        Catalog.Shape shape = catalog.get(m.shape());
+    private void readMachine(MachineTable.Machine m, boolean inBlock) {
         String owner = blocks.owner(m.host());
-        if (shape == null || m.returning() || m.closed() || owner == null || !fitness.fit(owner, m.host())) {
-            return;
+        if (!m.returning() && !m.closed() && owner != null) {
+            seen.computeIfAbsent(List.of(m.shape(), m.site(), m.spot()), k -> new ArrayList<>()).add(new Seen(m.host(), owner, inBlock));
         }
-        Room r = new Room(m.host(), plan.kind(shape, m.site(), m.spot()), inBlock, jobs.load(m.host()));
-        r.reachS = fitness.reachS(m.host());
-        plan.add(r);
     }
 }
--- a/src/main/java/io/quincelead/placing/Rounds.java
+++ b/src/main/java/io/quincelead/placing/Rounds.java
@@ -260,7 +260,8 @@
             answer(taken, new Txn.Outcome(Txn.Result.REFUSED, 0, Set.of()));
             throw e;
         }
-        full = plan.truncated;
+        // Where the store's budget is what limits a change, another one right after it would be no fuller.
+        full = plan.truncated && changes >= store.txnOps();
         if (plan.txn.isEmpty()) {
             become(Phase.IDLE);
             settled.run();
@@ -396,8 +397,7 @@
      */
     private void drains(Plan plan) {
         for (Desk.Own o : desk.owns()) {
-            MachineTable.Machine m = machines.get(o.host);
-            boolean closed = m != null && m.closed();
+            boolean closed = machines.closed().contains(o.host);
             if (!o.draining() && !closed) {
                 continue;
             }
--- a/src/main/java/io/quincelead/workers/Desk.java
+++ b/src/main/java/io/quincelead/workers/Desk.java
@@ -1,6 +1,5 @@
 package io.quincelead.workers;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quincelead.app.Constants;
@@ -67,46 +66,6 @@
         LEAVING
     }
 
-    /** An attempt as a worker's list shows it, and the next one of the same task; those that are not over come first. */
-    private static final class Shown {
-        final String member;
-        final long attempt;
-        final String status;
-        final String reason;
-        Shown next;
-
-        Shown(JsonNode t) {
-            member = t.path("member").asText();
-            attempt = t.path("try").asLong();
-            status = t.path("status").asText();
-            reason = t.path("exitReason").asText();
-        }
-
-        boolean ended() {
-            return status.equals("ended");
-        }
-
-        /** The entry of this attempt among those of the task; null: not shown. */
-        static Shown of(Shown task, long attempt) {
-            Shown t = task;
-            while (t != null && t.attempt != attempt) {
-                t = t.next;
-            }
-            return t;
-        }
-
-        /** Puts another entry of the task among them and returns the first. */
-        Shown with(Shown other) {
-            if (!ended() && other.ended()) {
-                other.next = next;
-                next = other;
-                return this;
-            }
-            other.next = this;
-            return other;
-        }
-    }
-
     /** A machine of our block and what we know of it under the current term. */
     public final class Own {
         public final String host;
@@ -129,7 +88,7 @@
         int failuresInRow;
         final Set<String> failedJobs = new HashSet<>();
         long fullUntil;
-        Map<String, Shown> list = Map.of();
+        Map<String, Report.Shown> list = Map.of();
         Request parked;
         long parkedUntil;
         boolean parkedIdle;
@@ -271,26 +230,24 @@
     // ---- reports
 
     public void report(Request request) {
-        ObjectNode body = Codec.CBOR.readMap(request.body);
-        if (body == null || !body.path("host").isTextual() || !body.path("tenure").isIntegralNumber()
-                || !body.path("serial").isIntegralNumber() || !body.path("epoch").isIntegralNumber()
-                || !body.path("members").isArray() && body.hasNonNull("members")) {
+        Report body = Report.read(request.body);
+        if (body == null) {
             request.refuse(400, "not a report");
             return;
         }
-        String host = body.path("host").asText();
+        String host = body.host;
         Own o = mine.get(host);
         if (o == null || blocks.mine() == null && blocks.owner(host) != null) {
             strayReport(request, host, body);
             return;
         }
-        if (body.path("epoch").asLong() > o.term) {
+        if (body.epoch > o.term) {
             // Somebody newer commands this worker; an answer of ours would be dropped and hold it here.
             redirect(request, host);
             return;
         }
         strays.remove(host);
-        o.addr = body.path("addr").asText(o.addr);
+        o.addr = body.addr == null ? o.addr : body.addr;
         if (o.parked != null) {
             flush(o);
         }
@@ -335,12 +292,15 @@
 
     /** How long an answer may wait for a start: starts travel only in answers, so a parked one makes them instant. */
     private long parkMs(Own o) {
-        boolean ends = jobs.on(o.host).values().stream().anyMatch(p -> !p.job.spec.service());
+        boolean ends = false;
+        for (Placement p : jobs.on(o.host).values()) {
+            ends |= !p.job.spec.service();
+        }
         double share = ends ? Constants.PARK_BUSY_SHARE : Constants.PARK_IDLE_SHARE;
         return (long) Math.min(settings.workers().reportS() * 1000 * share, Constants.PARK_MAX_MS);
     }
 
-    private void strayReport(Request request, String host, ObjectNode body) {
+    private void strayReport(Request request, String host, Report body) {
         if (!mirror.synced() || !session.joined()) {
             request.later(503, "not ready");
             return;
@@ -356,8 +316,7 @@
         // two controllers could pass a machine to each other for ever.
         Astray a = strays.merge(host, new Astray(term, now), (old, fresh) -> old.term == term ? old : fresh);
         if (owner == null || now - a.since > Constants.STRAY_MS) {
-            office.stray(new Stray(host, body.path("addr").asText(), body.path("shape").asText(), body.path("site").asText(),
-                    body.path("preemptible").asBoolean(), settings.member(), owner != null));
+            office.stray(new Stray(host, body.addr == null ? "" : body.addr, body.shape, body.site, body.spot, settings.member(), owner != null));
             if (owner == null && settings.member().equals(blocks.leader())) {
                 // The grant is a few ms away: the worker then hears at once where to go.
                 loop.after(Constants.REPORT_PATIENCE_MS, () -> redirect(request, host));
@@ -371,7 +330,7 @@
      * Cut off from the store, perhaps with a whole zone: a worker that can't reach its owner either is answered under the owner's
      * term, without any order, so that its tasks live on. Every now and then it is sent to look for its owner again.
      */
-    private boolean keepAlive(Request request, String host, ObjectNode body, long term) {
+    private boolean keepAlive(Request request, String host, Report body, long term) {
         long now = loop.now();
         double leaseMs = settings.workers().leaseS() * 1000;
         // Sent on, a worker may try all others in vain; its lease must outlast that.
@@ -385,7 +344,7 @@
             kept.remove(host);
             return false;
         }
-        if (body.path("epoch").asLong() > term) {
+        if (body.epoch > term) {
             return false;
         }
         ObjectNode answer = Codec.map().put("epoch", term);
@@ -407,9 +366,9 @@
      * Takes a worker's list as evidence, if it is newer than all before and bears our term. A body of {@code /orders}
      * may overtake the answer to a report, so it never proves that a start of ours did not arrive.
      */
-    private boolean absorb(Own o, ObjectNode body, boolean isReport) {
-        long tenure = body.path("tenure").asLong();
-        long serial = body.path("serial").asLong();
+    private boolean absorb(Own o, Report body, boolean isReport) {
+        long tenure = body.tenure;
+        long serial = body.serial;
         if (tenure < o.tenure || tenure == o.tenure && serial <= o.serial) {
             return false;
         }
@@ -422,38 +381,29 @@
         }
         o.heardAt = loop.now();
         o.heard = true;
-        if (body.hasNonNull("warningS")) {
+        if (body.warningS >= 0) {
             if (o.warningS < 0) {
-                LOG.info("machine {} will be taken back in {} s", o.host, body.path("warningS").asDouble());
+                LOG.info("machine {} will be taken back in {} s", o.host, body.warningS);
                 office.wake();
             }
-            o.warningS = body.path("warningS").asDouble();
+            o.warningS = body.warningS;
             o.warnedAt = loop.now();
         }
-        if (body.path("epoch").asLong() != o.term) {
+        if (body.epoch != o.term) {
             return true;
         }
         if (o.phase == Phase.CLAIMING) {
             o.become(Phase.FENCED);
             office.wake();
         }
-        JsonNode members = body.path("members");
-        Map<String, Shown> list = new HashMap<>(members.size() * 2);
-        for (JsonNode t : members) {
-            Shown shown = new Shown(t);
-            Shown others = list.putIfAbsent(shown.member, shown);
-            if (others != null) {
-                list.put(shown.member, others.with(shown));
-            }
-        }
-        o.list = list;
+        o.list = body.members;
         for (Placement p : jobs.on(o.host).values()) {
-            judge(o, p, Shown.of(list.get(p.name()), p.attempt));
+            judge(o, p, Report.Shown.of(o.list.get(p.name()), p.attempt));
         }
         return true;
     }
 
-    private void judge(Own o, Placement p, Shown entry) {
+    private void judge(Own o, Placement p, Report.Shown entry) {
         if (p.over()) {
             return;
         }
@@ -498,7 +448,7 @@
             }
             case "busy" -> {
                 // Another attempt of the task is there: only its end makes the task free to go elsewhere.
-                Shown any = o.list.get(p.name());
+                Report.Shown any = o.list.get(p.name());
                 if (any != null && any.ended()) {
                     lost(o, p, "refused (busy) by");
                 }
@@ -567,9 +517,9 @@
     private ArrayNode stops(Own o) {
         ArrayNode out = Codec.list();
         Map<String, Placement> recorded = jobs.on(o.host);
-        for (Shown first : o.list.values()) {
+        for (Report.Shown first : o.list.values()) {
             Placement p = recorded.get(first.member);
-            for (Shown t = first; t != null; t = t.next) {
+            for (Report.Shown t = first; t != null; t = t.next()) {
                 boolean onRecord = p != null && p.attempt == t.attempt;
                 if (t.ended()) {
                     if (!onRecord) {
@@ -664,14 +614,14 @@
         ObjectNode body = Codec.map().put("epoch", o.term).put("tenure", tenure);
         body.set("orders", list);
         transport.call(o.addr, "POST", "/orders", Codec.CBOR, Codec.CBOR.write(body), Constants.NEAR_TIMEOUT_MS, (status, bytes) -> {
-            ObjectNode answer = Codec.CBOR.readMap(bytes);
+            Report answer = Report.read(bytes);
             if (mine.get(o.host) != o || answer == null || status != 200 && status != 409) {
                 return;
             }
             if (status == 409) {
                 // Nothing was executed; a newer session of the worker is claimed under its number.
-                if (answer.path("tenure").asLong() > tenure && o.phase == Phase.CLAIMING) {
-                    o.tenure = Math.max(o.tenure, answer.path("tenure").asLong());
+                if (answer.tenure > tenure && o.phase == Phase.CLAIMING) {
+                    o.tenure = Math.max(o.tenure, answer.tenure);
                     claim(o);
                 }
                 return;
@@ -759,7 +709,10 @@
         if (cutOff) {
             return (long) (settings.workers().leaseS() * 1000 * Constants.ZONE_PATIENCE_LEASES);
         }
-        boolean always = jobs.on(o.host).values().stream().anyMatch(p -> p.job.spec.service() && !p.over());
+        boolean always = false;
+        for (Placement p : jobs.on(o.host).values()) {
+            always |= p.job.spec.service() && !p.over();
+        }
         return always ? silentMs / 2 : silentMs;
     }
 
--- a/src/main/java/io/quincelead/workers/ImageCaches.java
+++ b/src/main/java/io/quincelead/workers/ImageCaches.java
@@ -29,7 +29,10 @@
         LinkedHashMap<String, Double> images = byHost.computeIfAbsent(host, h -> new LinkedHashMap<>());
         images.remove(s.container());
         images.put(s.container(), s.sizeGb());
-        double sum = images.values().stream().mapToDouble(x -> x).sum();
+        double sum = 0;
+        for (double gb : images.values()) {
+            sum += gb;
+        }
         double most = cacheGb.applyAsDouble(m.shape());
         while (sum > most && images.size() > 1) {
             String oldest = images.keySet().iterator().next();
--- a/src/main/java/io/quincelead/workers/MachineTable.java
+++ b/src/main/java/io/quincelead/workers/MachineTable.java
@@ -54,6 +54,8 @@
     private final Mirror mirror;
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final Map<String, List<String>> groups = new HashMap<>();
+    private final Set<String> closed = new HashSet<>();
+    private long version;
 
     public MachineTable(Mirror mirror) {
         this.mirror = mirror;
@@ -69,23 +71,30 @@
     }
 
     private void read(String group, JsonNode v) {
+        version++;
         Set<String> returning = texts(v.path("x"));
-        Set<String> closed = texts(v.path("q"));
+        Set<String> closing = texts(v.path("q"));
         List<String> hosts = new ArrayList<>();
         v.path("h").forEach(h -> hosts.add(h.asText()));
         forget(group, new HashSet<>(hosts));
         for (String h : hosts) {
             machines.put(h, new Machine(h, group, v.path("k").asText(), v.path("s").asText(), v.path("p").asBoolean(),
-                    v.path("a").path(h).isTextual() ? v.path("a").path(h).asText() : null, v.path("r").asLong(), returning.contains(h), closed.contains(h)));
+                    v.path("a").path(h).isTextual() ? v.path("a").path(h).asText() : null, v.path("r").asLong(), returning.contains(h), closing.contains(h)));
         }
         groups.put(group, hosts);
+        closed.removeAll(hosts);
+        closed.addAll(closing);
     }
 
     private void forget(String group, Set<String> except) {
-        List<String> before = groups.remove(group);
-        if (before != null) {
-            before.stream().filter(h -> !except.contains(h)).forEach(machines::remove);
+        version++;
+        for (String h : groups.getOrDefault(group, List.of())) {
+            if (!except.contains(h)) {
+                machines.remove(h);
+                closed.remove(h);
+            }
         }
+        groups.remove(group);
     }
 
     private static Set<String> texts(JsonNode list) {
@@ -102,6 +111,16 @@
         return machines.values();
     }
 
+    /** Rises with every change of what is on record. */
+    public long version() {
+        return version;
+    }
+
+    /** Machines that get no new tasks. */
+    public Set<String> closed() {
+        return closed;
+    }
+
     /** Changes of machines that are part of one transaction. */
     public Edits edits(Txn txn) {
         return new Edits(txn);
