Guarantees come before other teams' surplus, whatever the urgency; stand-in workers keep gang results

Cause: no class may be left behind. Change: the queue goes by tiers: urgent work, then what is guaranteed, then the rest by urgency; work is displaced only for a smaller tier, and blocks leave room to the leader's work by tier. What counts as low for the store's budget is as before. Ruled out: displacing normal work for guaranteed low work; room comes free all the time, and useful work would be lost.

--- a/src/main/java/io/quincelead/placing/Placer.java
+++ b/src/main/java/io/quincelead/placing/Placer.java
@@ -22,6 +22,7 @@
     private final ImageCaches images;
     private final Plan plan;
     private boolean lastResort;
+    private int tier;
     /** Demands that no machine had any room for: on those that suit, and as a last resort on all that are allowed. */
     private final Unmet unmet = new Unmet();
     private final Unmet unmetAnywhere = new Unmet();
@@ -41,6 +42,7 @@
     /** The same, as a last resort also on machines that should be left to others. */
     int place(Job job, boolean anywhere) {
         lastResort = anywhere;
+        tier = plan.tier(job);
         JobSpec s = job.spec;
         int wanted = plan.pending(job);
         int tasks = Math.min(wanted, plan.quota(s));
@@ -113,7 +115,7 @@
     private Map<String, List<Tebas.Seat>> seats(JobSpec s, boolean blockOnly, Map<String, Integer> spread) {
         Map<String, List<Tebas.Seat>> byZone = new LinkedHashMap<>();
         for (Room.Kind kind : plan.kinds.values()) {
-            if (!(lastResort ? kind.allows(s) : kind.suits(s))) {
+            if (!(lastResort ? kind.allows(s) : kind.suits(s, tier))) {
                 continue;
             }
             List<Tebas.Seat> seats = null;
--- a/src/main/java/io/quincelead/placing/Plan.java
+++ b/src/main/java/io/quincelead/placing/Plan.java
@@ -34,6 +34,8 @@
     final List<Job> misfits = new ArrayList<>();
     /** Jobs that this round would record for the first time. */
     final Set<Job> entering = new LinkedHashSet<>();
+    /** Jobs within their team's guarantee. */
+    Set<Job> guaranteed = Set.of();
     final Blocks.Block block;
     final boolean leading;
     final int blocks;
@@ -63,6 +65,11 @@
         return edits.size() >= most(changes, blocks, txnOps);
     }
 
+    /** The job's tier in the queue. */
+    int tier(Job job) {
+        return QueueOrder.tier(job.spec.urgency().ordinal(), guaranteed.contains(job));
+    }
+
     /** Whether a record of the job is in the change already. */
     boolean holds(Job job) {
         for (int k = 0; k < job.chunks.length; k++) {
--- a/src/main/java/io/quincelead/placing/Preemption.java
+++ b/src/main/java/io/quincelead/placing/Preemption.java
@@ -47,6 +47,7 @@
         JobSpec s = job.spec;
         int need = Math.min(left, plan.quota(s));
         boolean within = ranked.withinGuarantee();
+        int tier = ranked.tier();
         if (need <= 0 || s.urgency() == JobSpec.Urgency.BEST_EFFORT && !within) {
             return need;
         }
@@ -54,7 +55,7 @@
             return need;
         }
         for (Room.Kind kind : plan.kinds.values()) {
-            if (!kind.suits(s)) {
+            if (!kind.suits(s, tier)) {
                 continue;
             }
             for (Room r : kind.rooms) {
@@ -78,7 +79,7 @@
             }
             Placement p = v.placement();
             Room r = v.room();
-            if (!mayStop(job, p, within) || !r.kind.suits(s)) {
+            if (!mayStop(job, p, within) || !r.kind.suits(s, tier)) {
                 continue;
             }
             Chunk.Edit e = plan.edit(p);
@@ -135,7 +136,7 @@
             return false;
         }
         if (v.urgency().ordinal() > forJob.spec.urgency().ordinal()) {
-            return true;
+            return QueueOrder.tier(v.urgency().ordinal(), guaranteed.contains(p.job)) > QueueOrder.tier(forJob.spec.urgency().ordinal(), within);
         }
         // For a guarantee the protocol lets us stop work of any urgency. We stop only work that comes after this job in the
         // queue: more urgent work would take the room back at once, and the two would displace each other without end. For
--- a/src/main/java/io/quincelead/placing/QueueOrder.java
+++ b/src/main/java/io/quincelead/placing/QueueOrder.java
@@ -3,6 +3,7 @@
 import io.quincelead.app.Constants;
 import io.quincelead.app.Settings;
 import io.quincelead.jobs.Job;
+import io.quincelead.jobs.JobSpec;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -10,7 +11,10 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Who comes first: urgency, then teams within their guarantee, then nearness to the deadline or objective. */
+/**
+ * Who comes first: urgent work, then what its team is guaranteed, whatever its urgency, then the rest by urgency; last by
+ * nearness to the deadline or objective. A guarantee that waits behind other teams' surplus would be none.
+ */
 public final class QueueOrder {
     private final Map<String, Double> withinS = new HashMap<>();
     private final Map<String, Settings.Team> teams;
@@ -25,12 +29,23 @@
     }
 
     /** A job and what its place in the queue depends on. */
-    public record Ranked(Job job, int urgency, boolean withinGuarantee, boolean hopeless, double slackS) { }
+    public record Ranked(Job job, int urgency, boolean withinGuarantee, boolean hopeless, double slackS) {
+        int tier() {
+            return QueueOrder.tier(urgency, withinGuarantee);
+        }
+    }
+
+    /** The smaller, the earlier; work may be stopped only for work of a smaller one, or the two would displace each other without end. */
+    static int tier(int urgency, boolean withinGuarantee) {
+        int urgent = JobSpec.Urgency.HIGH.ordinal();
+        return urgency <= urgent ? urgency : withinGuarantee ? urgent + 1 : urgency + 1;
+    }
 
     public static final Comparator<Ranked> ORDER = QueueOrder::compare;
 
     private static int compare(Ranked a, Ranked b) {
-        int c = Integer.compare(a.urgency, b.urgency);
+        int c = Integer.compare(a.tier(), b.tier());
+        c = c != 0 ? c : Integer.compare(a.urgency, b.urgency);
         c = c != 0 ? c : Boolean.compare(!a.withinGuarantee, !b.withinGuarantee);
         c = c != 0 ? c : Boolean.compare(a.hopeless, b.hopeless);
         c = c != 0 ? c : Double.compare(a.slackS, b.slackS);
--- a/src/main/java/io/quincelead/placing/QueuePass.java
+++ b/src/main/java/io/quincelead/placing/QueuePass.java
@@ -112,7 +112,7 @@
         }
         Room.Kind kind = new Room.Kind(shape, m.site(), m.spot());
         kind.sought = kinds.cardsWanted(shape, m.site(), m.spot());
-        return leaderWaits.stream().anyMatch(kind::suits);
+        return leaderWaits.stream().anyMatch(s -> kind.suits(s, 0));
     }
 
     /**
@@ -138,6 +138,7 @@
         }
         readRooms(plan, candidates.stream().anyMatch(j -> j.spec.urgency().ordinal() <= JobSpec.Urgency.HIGH.ordinal()));
         plan.reserve = kinds.urgentCpus(Constants.RESERVE_S) / (plan.leading ? 1 : Math.max(1, blocks.all().size()));
+        plan.guaranteed = order.guaranteed(jobs.byAge());
         ahead(plan, chiefWaits);
         walk(plan, candidates, ends);
     }
@@ -172,7 +173,7 @@
     }
 
     private void walk(Plan plan, List<Job> candidates, Ends ends) {
-        Set<Job> guaranteed = order.guaranteed(jobs.byAge());
+        Set<Job> guaranteed = plan.guaranteed;
         long wall = loop.wall();
         List<QueueOrder.Ranked> queue = new ArrayList<>(candidates.size());
         candidates.forEach(j -> queue.add(order.rank(j, guaranteed.contains(j), wall)));
@@ -233,7 +234,7 @@
     }
 
     /**
-     * Leaves room here to more urgent work that the leader is placing, where it could go. A leader that hasn't used the room in
+     * Leaves room here to work that comes first and that the leader is placing, where it could go. A leader that hasn't used the room in
      * this time can't; waiting on would idle the block.
      */
     private void ahead(Plan plan, List<Job> chiefWaits) {
@@ -250,7 +251,7 @@
             }
             for (Room.Kind k : plan.kinds.values()) {
                 if (k.allows(s)) {
-                    k.leftTo = Math.min(k.leftTo, s.urgency().ordinal());
+                    k.leftTo = Math.min(k.leftTo, plan.tier(j));
                 }
             }
         }
--- a/src/main/java/io/quincelead/placing/Room.java
+++ b/src/main/java/io/quincelead/placing/Room.java
@@ -15,7 +15,7 @@
         final boolean spot;
         /** Whether other work needs their GPUs. */
         boolean sought;
-        /** Only work at least this urgent may use them: the leader is placing some. */
+        /** Only work of this tier or a smaller one may use them ({@link QueueOrder#tier}): the leader is placing some. */
         int leftTo = Integer.MAX_VALUE;
         final List<Room> rooms = new ArrayList<>();
 
@@ -25,9 +25,9 @@
             this.spot = spot;
         }
 
-        /** Whether the job should go there: it may, nobody more urgent is about to, and it takes no GPUs from those who seek them. */
-        boolean suits(JobSpec s) {
-            return allows(s) && leftTo >= s.urgency().ordinal() && !(sought && s.cards() == 0 && s.shapes() == null);
+        /** Whether the job should go there: it may, nobody who comes first is about to, and it takes no GPUs from those who seek them. */
+        boolean suits(JobSpec s, int tier) {
+            return allows(s) && leftTo >= tier && !(sought && s.cards() == 0 && s.shapes() == null);
         }
 
         /** Whether the job's own demands let it go there. */
--- a/src/test/java/io/quincelead/world/DaysTest.java
+++ b/src/test/java/io/quincelead/world/DaysTest.java
@@ -7,7 +7,9 @@
 import io.quincelead.jobs.JobSpec;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -286,6 +288,43 @@
         assertTrue(w.starts.get("wk-000001") + w.starts.get("wk-000002") < 45, "starts: " + w.starts);
     }
 
+    /**
+     * Bursts of urgent work over a stream of normal work that alone nearly fills the cluster, and low work that its team is guaranteed.
+     * Low work once came after all normal work, also that of a team far beyond its guarantee, and hardly any of it was done.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {61, 62, 63})
+    void noClassIsLeftBehindByBurstsOfUrgentWork(long seed) {
+        World w = new World(seed, List.of(new Cloud.Shape("small", 8, 0, 32, 0.4, 0.15, 5, List.of("a", "b"), 3)));
+        w.teams.put("red", new Settings.Team("red", 12, 40, 0, 0));
+        w.teams.put("blue", new Settings.Team("blue", 12, 24, 0, 0));
+        w.start();
+        Map<JobSpec.Urgency, List<String>> asked = new TreeMap<>();
+        int id = 0;
+        for (int t = 3; t < 240; t++) {
+            List<JobSpec> now = new ArrayList<>();
+            if (t % 6 == 0) {
+                now.add(Jobs.array(++id, "red", JobSpec.Urgency.NORMAL, 6 + w.sim.random.nextInt(4), 2, 8 + w.sim.random.nextInt(4)));
+            }
+            if (t % 60 < 20 && t % 4 == 0) {
+                now.add(Jobs.array(++id, "red", JobSpec.Urgency.HIGH, 3 + w.sim.random.nextInt(3), 2, 5));
+            }
+            if (t % 20 == 0) {
+                now.add(Jobs.array(++id, "blue", JobSpec.Urgency.BEST_EFFORT, 4, 2, 12));
+            }
+            for (JobSpec s : now) {
+                asked.computeIfAbsent(s.urgency(), u -> new ArrayList<>()).add(s.id());
+                w.sim.after(t * 1000L, () -> w.submit(s));
+            }
+        }
+        w.sim.run(280_000);
+        Map<JobSpec.Urgency, Double> served = new TreeMap<>();
+        asked.forEach((urgency, ids) -> served.put(urgency, ids.stream().filter(i -> w.told(i, "done")).count() / (double) ids.size()));
+        assertTrue(served.values().stream().allMatch(share -> share >= 0.5), "served: " + served);
+        w.sim.run(900_000);
+        assertAllDone(w, id);
+    }
+
     /** A poll whose barrier was out while another controller recorded the job's end once got 404. */
     @Test void pollsThatCrossAnEndAreAnswered() {
         World w = new World(20);
--- a/src/test/java/io/quincelead/world/Worker.java
+++ b/src/test/java/io/quincelead/world/Worker.java
@@ -14,6 +14,9 @@
 /** A stand-in for one machine and its worker, written from the protocol. */
 public final class Worker {
     /** A task on the machine, or one that has ended there. */
+    /** ms. gang_wait_s of the settings that the world hands over. */
+    static final long GANG_WAIT_MS = 45_000;
+
     public static final class Task {
         final String name;
         final long attempt;
@@ -287,8 +290,15 @@
                                 end(t, "error");
                             }
                         }));
+                    } else if (s.gang() && world.results.contains(t.name)) {
+                        end(t, "done");
                     } else if (s.gang()) {
                         t.status = "waiting";
+                        sim.after(GANG_WAIT_MS, () -> run(() -> {
+                            if (tasks.get(key(name, attempt)) == t && t.status.equals("waiting")) {
+                                end(t, "incomplete");
+                            }
+                        }));
                         world.gang(s);
                     } else {
                         runs(t, s);
--- a/src/test/java/io/quincelead/world/World.java
+++ b/src/test/java/io/quincelead/world/World.java
@@ -39,7 +39,7 @@
             Map<String, String> peers = new LinkedHashMap<>();
             controllers.forEach(m -> peers.put(m.name, m.cluster));
             Settings settings = new Settings(name, "a", listen, cluster, peers, CLOUD, STORE, controllers.size(), 25, teams, objectives,
-                    new Settings.Workers(reportMs / 1000.0, leaseMs / 1000.0, 45, 6, cancelS), state,
+                    new Settings.Workers(reportMs / 1000.0, leaseMs / 1000.0, Worker.GANG_WAIT_MS / 1000.0, 6, cancelS), state,
                     new Settings.Cloud(4, 4), new Settings.Limits(1, 256, 500));
             Sim.Process mine = process;
             Controller c = new Controller(mine, net.transport(ip, mine), settings, OperatorSettings.DEFAULTS);
