--- a/src/bench/java/io/quincelead/placing/RoundBench.java
+++ b/src/bench/java/io/quincelead/placing/RoundBench.java
@@ -1,6 +1,6 @@
 package io.quincelead.placing;
 
-import io.quincelead.jobs.JobSpec;
+import io.quincelead.records.JobSpec;
 import io.quincelead.world.Jobs;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
--- a/src/main/java/io/quincelead/app/Controller.java
+++ b/src/main/java/io/quincelead/app/Controller.java
@@ -1,25 +1,29 @@
 package io.quincelead.app;
 
-import io.quincelead.cloud.Catalog;
+import io.quincelead.base.Constants;
+import io.quincelead.base.Loop;
+import io.quincelead.base.OperatorSettings;
+import io.quincelead.base.Settings;
 import io.quincelead.cloud.Fleet;
-import io.quincelead.jobs.JobTable;
-import io.quincelead.jobs.Kinds;
-import io.quincelead.jobs.Placement;
 import io.quincelead.jobs.UserApi;
-import io.quincelead.leader.Blocks;
 import io.quincelead.leader.Leader;
 import io.quincelead.net.Codec;
 import io.quincelead.net.Request;
 import io.quincelead.net.Transport;
 import io.quincelead.peers.Peers;
 import io.quincelead.placing.Rounds;
+import io.quincelead.records.Blocks;
+import io.quincelead.records.Catalog;
+import io.quincelead.records.ImageCaches;
+import io.quincelead.records.JobTable;
+import io.quincelead.records.Kinds;
+import io.quincelead.records.MachineTable;
+import io.quincelead.records.Placement;
 import io.quincelead.state.Committer;
 import io.quincelead.state.Mirror;
 import io.quincelead.state.Session;
 import io.quincelead.state.StoreClient;
 import io.quincelead.workers.Desk;
-import io.quincelead.workers.ImageCaches;
-import io.quincelead.workers.MachineTable;
 
 /** One controller: the slices, wired. It knows no sockets and no clocks but the loop's and the transport's. */
 public final class Controller {
--- a/src/main/java/io/quincelead/app/Main.java
+++ b/src/main/java/io/quincelead/app/Main.java
@@ -1,5 +1,8 @@
 package io.quincelead.app;
 
+import io.quincelead.base.Constants;
+import io.quincelead.base.OperatorSettings;
+import io.quincelead.base.Settings;
 import io.quincelead.net.HttpClient;
 import io.quincelead.net.HttpServer;
 import java.io.File;
--- a/src/main/java/io/quincelead/app/Rehearsal.java
+++ b/src/main/java/io/quincelead/app/Rehearsal.java
@@ -1,6 +1,8 @@
 package io.quincelead.app;
 
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import io.quincelead.base.OperatorSettings;
+import io.quincelead.base.Settings;
 import io.quincelead.net.Codec;
 import io.quincelead.net.HttpClient;
 import io.quincelead.net.HttpServer;
--- a/src/main/java/io/quincelead/app/XnioLoop.java
+++ b/src/main/java/io/quincelead/app/XnioLoop.java
@@ -1,5 +1,6 @@
 package io.quincelead.app;
 
+import io.quincelead.base.Loop;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
--- a/src/main/java/io/quincelead/app/Constants.java
+++ b/src/main/java/io/quincelead/base/Constants.java
@@ -1,4 +1,4 @@
-package io.quincelead.app;
+package io.quincelead.base;
 
 /**
  * Every fixed number of the service, with its unit and the reason for its value. Numbers that an operator may
--- a/src/main/java/io/quincelead/app/Loop.java
+++ b/src/main/java/io/quincelead/base/Loop.java
@@ -1,4 +1,4 @@
-package io.quincelead.app;
+package io.quincelead.base;
 
 /** The one event loop that owns all state of a controller. Time and turns come from here, so tests can inject both. */
 public interface Loop {
--- a/src/main/java/io/quincelead/app/OperatorSettings.java
+++ b/src/main/java/io/quincelead/base/OperatorSettings.java
@@ -1,4 +1,4 @@
-package io.quincelead.app;
+package io.quincelead.base;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/src/main/java/io/quincelead/app/Settings.java
+++ b/src/main/java/io/quincelead/base/Settings.java
@@ -1,4 +1,4 @@
-package io.quincelead.app;
+package io.quincelead.base;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
@@ -52,7 +52,8 @@
         return read(root, file.toString());
     }
 
-    static Settings read(JsonNode root, String file) throws Invalid {
+    /** Reads settings; {@code file} is named in the error. */
+    public static Settings read(JsonNode root, String file) throws Invalid {
         Reader r = new Reader(file, "", root);
         Reader ext = r.child("external");
         Reader s = r.child("settings");
--- a/src/main/java/io/quincelead/cloud/Demand.java
+++ b/src/main/java/io/quincelead/cloud/Demand.java
@@ -1,14 +1,14 @@
 package io.quincelead.cloud;
 
-import io.quincelead.app.Constants;
-import io.quincelead.app.Loop;
-import io.quincelead.app.Settings;
-import io.quincelead.jobs.Chunk;
-import io.quincelead.jobs.Job;
-import io.quincelead.jobs.JobSpec;
-import io.quincelead.jobs.JobTable;
-import io.quincelead.jobs.Placement;
+import io.quincelead.base.Constants;
+import io.quincelead.base.Loop;
+import io.quincelead.base.Settings;
 import io.quincelead.placing.QueueOrder;
+import io.quincelead.records.Chunk;
+import io.quincelead.records.Job;
+import io.quincelead.records.JobSpec;
+import io.quincelead.records.JobTable;
+import io.quincelead.records.Placement;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
--- a/src/main/java/io/quincelead/jobs/Entrance.java
+++ b/src/main/java/io/quincelead/jobs/Entrance.java
@@ -1,5 +1,6 @@
 package io.quincelead.jobs;
 
+import io.quincelead.records.Job;
 import io.quincelead.state.Txn;
 
 /** Takes jobs that are being submitted into the next round, which records them together with their first places. */
--- a/src/main/java/io/quincelead/leader/Allowances.java
+++ b/src/main/java/io/quincelead/leader/Allowances.java
@@ -1,6 +1,6 @@
 package io.quincelead.leader;
 
-import io.quincelead.app.Constants;
+import io.quincelead.base.Constants;
 import java.util.Arrays;
 
 /** How a team's limit is split over controllers: arithmetic alone, which the leader calls and a model explores. */
--- a/src/main/java/io/quincelead/net/HttpClient.java
+++ b/src/main/java/io/quincelead/net/HttpClient.java
@@ -1,7 +1,7 @@
 package io.quincelead.net;
 
-import io.quincelead.app.Constants;
-import io.quincelead.app.Loop;
+import io.quincelead.base.Constants;
+import io.quincelead.base.Loop;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
--- a/src/main/java/io/quincelead/net/HttpServer.java
+++ b/src/main/java/io/quincelead/net/HttpServer.java
@@ -1,6 +1,6 @@
 package io.quincelead.net;
 
-import io.quincelead.app.Constants;
+import io.quincelead.base.Constants;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpServerExchange;
--- a/src/main/java/io/quincelead/net/RateBudget.java
+++ b/src/main/java/io/quincelead/net/RateBudget.java
@@ -1,6 +1,6 @@
 package io.quincelead.net;
 
-import io.quincelead.app.Loop;
+import io.quincelead.base.Loop;
 
 /** A token bucket with a burst of one second's worth, kept a little below what the other side allows. */
 public final class RateBudget {
--- a/src/main/java/io/quincelead/net/Request.java
+++ b/src/main/java/io/quincelead/net/Request.java
@@ -43,7 +43,7 @@
 
     /** "Not now": tells the sender when to come back. */
     public final void later(int status, String why) {
-        answer(status, Codec.CBOR, Codec.map().put("error", why), io.quincelead.app.Constants.RETRY_AFTER_S);
+        answer(status, Codec.CBOR, Codec.map().put("error", why), io.quincelead.base.Constants.RETRY_AFTER_S);
     }
 
     /** What serves requests. */
--- a/src/main/java/io/quincelead/placing/Placer.java
+++ b/src/main/java/io/quincelead/placing/Placer.java
@@ -1,13 +1,13 @@
 package io.quincelead.placing;
 
-import io.quincelead.app.Constants;
-import io.quincelead.app.OperatorSettings;
-import io.quincelead.jobs.Chunk;
-import io.quincelead.jobs.Job;
-import io.quincelead.jobs.JobSpec;
-import io.quincelead.jobs.Placement;
-import io.quincelead.workers.ImageCaches;
-import io.quincelead.workers.MachineTable;
+import io.quincelead.base.Constants;
+import io.quincelead.base.OperatorSettings;
+import io.quincelead.records.Chunk;
+import io.quincelead.records.ImageCaches;
+import io.quincelead.records.Job;
+import io.quincelead.records.JobSpec;
+import io.quincelead.records.MachineTable;
+import io.quincelead.records.Placement;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
--- a/src/main/java/io/quincelead/placing/Plan.java
+++ b/src/main/java/io/quincelead/placing/Plan.java
@@ -1,12 +1,12 @@
 package io.quincelead.placing;
 
-import io.quincelead.app.Constants;
-import io.quincelead.cloud.Catalog;
-import io.quincelead.jobs.Chunk;
-import io.quincelead.jobs.Job;
-import io.quincelead.jobs.JobSpec;
-import io.quincelead.jobs.Placement;
-import io.quincelead.leader.Blocks;
+import io.quincelead.base.Constants;
+import io.quincelead.records.Blocks;
+import io.quincelead.records.Catalog;
+import io.quincelead.records.Chunk;
+import io.quincelead.records.Job;
+import io.quincelead.records.JobSpec;
+import io.quincelead.records.Placement;
 import io.quincelead.state.Txn;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/io/quincelead/placing/QueueOrder.java
+++ b/src/main/java/io/quincelead/placing/QueueOrder.java
@@ -1,9 +1,9 @@
 package io.quincelead.placing;
 
-import io.quincelead.app.Constants;
-import io.quincelead.app.Settings;
-import io.quincelead.jobs.Job;
-import io.quincelead.jobs.JobSpec;
+import io.quincelead.base.Constants;
+import io.quincelead.base.Settings;
+import io.quincelead.records.Job;
+import io.quincelead.records.JobSpec;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
--- a/src/main/java/io/quincelead/placing/Room.java
+++ b/src/main/java/io/quincelead/placing/Room.java
@@ -1,8 +1,8 @@
 package io.quincelead.placing;
 
-import io.quincelead.cloud.Catalog;
-import io.quincelead.jobs.HostLoad;
-import io.quincelead.jobs.JobSpec;
+import io.quincelead.records.Catalog;
+import io.quincelead.records.HostLoad;
+import io.quincelead.records.JobSpec;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/main/java/io/quincelead/placing/Unmet.java
+++ b/src/main/java/io/quincelead/placing/Unmet.java
@@ -1,6 +1,6 @@
 package io.quincelead.placing;
 
-import io.quincelead.jobs.JobSpec;
+import io.quincelead.records.JobSpec;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/main/java/io/quincelead/placing/Victims.java
+++ b/src/main/java/io/quincelead/placing/Victims.java
@@ -1,7 +1,7 @@
 package io.quincelead.placing;
 
-import io.quincelead.app.Constants;
-import io.quincelead.jobs.Placement;
+import io.quincelead.base.Constants;
+import io.quincelead.records.Placement;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
--- a/src/main/java/io/quincelead/leader/Blocks.java
+++ b/src/main/java/io/quincelead/records/Blocks.java
@@ -1,8 +1,8 @@
-package io.quincelead.leader;
+package io.quincelead.records;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.quincelead.app.Settings;
+import io.quincelead.base.Settings;
 import io.quincelead.net.Codec;
 import io.quincelead.state.Keys;
 import io.quincelead.state.Mirror;
--- a/src/main/java/io/quincelead/cloud/Catalog.java
+++ b/src/main/java/io/quincelead/records/Catalog.java
@@ -1,8 +1,7 @@
-package io.quincelead.cloud;
+package io.quincelead.records;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.quincelead.jobs.JobSpec;
 import io.quincelead.net.Codec;
 import io.quincelead.state.Keys;
 import io.quincelead.state.Mirror;
@@ -26,14 +25,16 @@
             return s.vcpus() <= vcpus && s.cards() <= cards && s.ramGb() <= ramGb;
         }
 
-        ObjectNode encode() {
+        /** The record of this type. */
+        public ObjectNode encode() {
             ObjectNode n = Codec.map().put("label", label).put("vcpus", vcpus).put("cards", cards).put("ramGb", ramGb).put("localGb", localGb)
                     .put("pullGbPerS", pullGbPerS).put("price", price).put("spotPrice", spotPrice).put("bootS", bootS);
             sites.forEach(n.putArray("sites")::add);
             return n;
         }
 
-        static Shape read(JsonNode n) {
+        /** A type as the cloud's catalog and our record have it (protocol, "GET /catalog"); what is missing gets a careful value. */
+        public static Shape read(JsonNode n) {
             List<String> sites = new ArrayList<>();
             n.path("sites").forEach(s -> sites.add(s.asText()));
             double price = n.path("price").asDouble();
@@ -71,7 +72,7 @@
     }
 
     /** Prices move; the leader's last reading counts for the leader alone and is not recorded again. */
-    void current(Shape shape) {
+    public void current(Shape shape) {
         shapes.put(shape.label(), shape);
     }
 
--- a/src/main/java/io/quincelead/workers/ImageCaches.java
+++ b/src/main/java/io/quincelead/records/ImageCaches.java
@@ -1,6 +1,5 @@
-package io.quincelead.workers;
+package io.quincelead.records;
 
-import io.quincelead.jobs.JobSpec;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
--- a/src/main/java/io/quincelead/jobs/Job.java
+++ b/src/main/java/io/quincelead/records/Job.java
@@ -1,8 +1,8 @@
-package io.quincelead.jobs;
+package io.quincelead.records;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.quincelead.app.Constants;
+import io.quincelead.base.Constants;
 import io.quincelead.net.Codec;
 import io.quincelead.state.Keys;
 
@@ -44,7 +44,7 @@
     }
 
     /** A job that is being submitted: on no record yet. */
-    Job(JobSpec spec, String controller, long acceptedAt) {
+    public Job(JobSpec spec, String controller, long acceptedAt) {
         this(spec);
         this.controller = controller;
         this.acceptedAt = acceptedAt;
--- a/src/main/java/io/quincelead/jobs/JobSpec.java
+++ b/src/main/java/io/quincelead/records/JobSpec.java
@@ -1,9 +1,9 @@
-package io.quincelead.jobs;
+package io.quincelead.records;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.quincelead.app.Constants;
+import io.quincelead.base.Constants;
 import io.quincelead.net.Codec;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/io/quincelead/jobs/JobTable.java
+++ b/src/main/java/io/quincelead/records/JobTable.java
@@ -1,8 +1,8 @@
-package io.quincelead.jobs;
+package io.quincelead.records;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.quincelead.app.Loop;
+import io.quincelead.base.Loop;
 import io.quincelead.state.Keys;
 import io.quincelead.state.Mirror;
 import java.util.ArrayList;
--- a/src/main/java/io/quincelead/jobs/Kinds.java
+++ b/src/main/java/io/quincelead/records/Kinds.java
@@ -1,8 +1,7 @@
-package io.quincelead.jobs;
+package io.quincelead.records;
 
-import io.quincelead.app.Constants;
-import io.quincelead.app.Loop;
-import io.quincelead.cloud.Catalog;
+import io.quincelead.base.Constants;
+import io.quincelead.base.Loop;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/io/quincelead/workers/MachineTable.java
+++ b/src/main/java/io/quincelead/records/MachineTable.java
@@ -1,9 +1,9 @@
-package io.quincelead.workers;
+package io.quincelead.records;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.quincelead.app.Constants;
+import io.quincelead.base.Constants;
 import io.quincelead.net.Codec;
 import io.quincelead.state.Keys;
 import io.quincelead.state.Mirror;
--- a/src/main/java/io/quincelead/jobs/Placement.java
+++ b/src/main/java/io/quincelead/records/Placement.java
@@ -1,4 +1,4 @@
-package io.quincelead.jobs;
+package io.quincelead.records;
 
 /**
  * One task's recorded place: the task may be on that machine until evidence says that it is gone. The record is in
--- a/src/main/java/io/quincelead/jobs/Places.java
+++ b/src/main/java/io/quincelead/records/Places.java
@@ -1,4 +1,4 @@
-package io.quincelead.jobs;
+package io.quincelead.records;
 
 import java.util.AbstractCollection;
 import java.util.Arrays;
--- a/src/main/java/io/quincelead/state/Committer.java
+++ b/src/main/java/io/quincelead/state/Committer.java
@@ -1,7 +1,7 @@
 package io.quincelead.state;
 
-import io.quincelead.app.Constants;
-import io.quincelead.app.Loop;
+import io.quincelead.base.Constants;
+import io.quincelead.base.Loop;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/io/quincelead/state/Mirror.java
+++ b/src/main/java/io/quincelead/state/Mirror.java
@@ -2,8 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.quincelead.app.Constants;
-import io.quincelead.app.Loop;
+import io.quincelead.base.Constants;
+import io.quincelead.base.Loop;
 import io.quincelead.net.Transport;
 import java.util.ArrayList;
 import java.util.HashSet;
--- a/src/main/java/io/quincelead/state/Session.java
+++ b/src/main/java/io/quincelead/state/Session.java
@@ -1,8 +1,8 @@
 package io.quincelead.state;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.quincelead.app.Constants;
-import io.quincelead.app.Loop;
+import io.quincelead.base.Constants;
+import io.quincelead.base.Loop;
 import io.quincelead.net.Codec;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
--- a/src/main/java/io/quincelead/state/StoreClient.java
+++ b/src/main/java/io/quincelead/state/StoreClient.java
@@ -2,9 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.quincelead.app.Constants;
-import io.quincelead.app.Loop;
-import io.quincelead.app.Settings;
+import io.quincelead.base.Constants;
+import io.quincelead.base.Loop;
+import io.quincelead.base.Settings;
 import io.quincelead.net.Codec;
 import io.quincelead.net.RateBudget;
 import io.quincelead.net.Transport;
--- a/src/main/java/io/quincelead/state/Txn.java
+++ b/src/main/java/io/quincelead/state/Txn.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.quincelead.app.Constants;
+import io.quincelead.base.Constants;
 import io.quincelead.net.Codec;
 import java.util.LinkedHashMap;
 import java.util.Map;
--- a/src/test/java/io/quincelead/app/SettingsTest.java
+++ b/src/test/java/io/quincelead/base/SettingsTest.java
@@ -1,9 +1,10 @@
-package io.quincelead.app;
+package io.quincelead.base;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.quincelead.app.Main;
 import java.io.File;
 import java.io.IOException;
 import java.io.PrintWriter;
--- a/src/test/java/io/quincelead/jobs/UserApiTest.java
+++ b/src/test/java/io/quincelead/jobs/UserApiTest.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quincelead.net.Codec;
+import io.quincelead.records.JobSpec;
 import io.quincelead.world.Jobs;
 import io.quincelead.world.World;
 import org.junit.jupiter.api.BeforeEach;
--- a/src/test/java/io/quincelead/leader/AllowanceModelTest.java
+++ b/src/test/java/io/quincelead/leader/AllowanceModelTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.quincelead.records.Blocks;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
--- a/src/test/java/io/quincelead/placing/QueuePassTest.java
+++ b/src/test/java/io/quincelead/placing/QueuePassTest.java
@@ -3,8 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.quincelead.jobs.JobSpec;
-import io.quincelead.jobs.Placement;
+import io.quincelead.records.JobSpec;
+import io.quincelead.records.Placement;
 import io.quincelead.world.Jobs;
 import java.util.ArrayList;
 import java.util.Comparator;
--- a/src/test/java/io/quincelead/world/CheckerTest.java
+++ b/src/test/java/io/quincelead/world/CheckerTest.java
@@ -2,8 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.quincelead.jobs.JobSpec;
 import io.quincelead.net.Codec;
+import io.quincelead.records.JobSpec;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/io/quincelead/world/DaysTest.java
+++ b/src/test/java/io/quincelead/world/DaysTest.java
@@ -3,8 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.quincelead.app.Settings;
-import io.quincelead.jobs.JobSpec;
+import io.quincelead.base.Settings;
+import io.quincelead.records.JobSpec;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
--- a/src/test/java/io/quincelead/world/Jobs.java
+++ b/src/test/java/io/quincelead/world/Jobs.java
@@ -1,6 +1,6 @@
 package io.quincelead.world;
 
-import io.quincelead.jobs.JobSpec;
+import io.quincelead.records.JobSpec;
 import java.util.List;
 import java.util.SplittableRandom;
 
--- a/src/test/java/io/quincelead/world/LargeDay.java
+++ b/src/test/java/io/quincelead/world/LargeDay.java
@@ -1,7 +1,7 @@
 package io.quincelead.world;
 
-import io.quincelead.app.Settings;
-import io.quincelead.jobs.JobSpec;
+import io.quincelead.base.Settings;
+import io.quincelead.records.JobSpec;
 import java.util.List;
 
 /**
--- a/src/test/java/io/quincelead/world/Sim.java
+++ b/src/test/java/io/quincelead/world/Sim.java
@@ -1,6 +1,6 @@
 package io.quincelead.world;
 
-import io.quincelead.app.Loop;
+import io.quincelead.base.Loop;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 
--- a/src/test/java/io/quincelead/world/World.java
+++ b/src/test/java/io/quincelead/world/World.java
@@ -1,10 +1,10 @@
 package io.quincelead.world;
 
 import io.quincelead.app.Controller;
-import io.quincelead.app.OperatorSettings;
-import io.quincelead.app.Settings;
-import io.quincelead.jobs.JobSpec;
+import io.quincelead.base.OperatorSettings;
+import io.quincelead.base.Settings;
 import io.quincelead.net.Codec;
+import io.quincelead.records.JobSpec;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
