--- a/src/main/java/io/quincelead/base/Constants.java
+++ b/src/main/java/io/quincelead/base/Constants.java
@@ -126,7 +126,7 @@
     /** Parts of the store's request limit that the watches of all controllers together may use. */
     public static final double WATCH_SHARE = 0.36;
     /** ms. No two looks at the store's news follow each other faster: news come together, and each look costs a turn of the loop. */
-    public static final long WATCH_LEAST_MS = 50;
+    public static final long WATCH_LEAST_MS = 80;
 
     /** ms. Pause of what users wait for when the store's limit of the moment is used up. */
     public static final long BUSY_PAUSE_MS = 80;
--- a/src/main/java/io/quincelead/records/Chunk.java
+++ b/src/main/java/io/quincelead/records/Chunk.java
@@ -7,6 +7,7 @@
 import io.quincelead.net.Codec;
 import io.quincelead.state.Keys;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.BitSet;
 import java.util.Collection;
 
@@ -21,18 +22,21 @@
     public final BitSet done;
     public final Places placed;
     private final String key;
+    /** The places as they are on record; null where no record was read. */
+    private final byte[] text;
 
-    private Chunk(Job job, int number, String key, long lastTry, BitSet done, Places placed) {
+    private Chunk(Job job, int number, String key, long lastTry, BitSet done, Places placed, byte[] text) {
         this.job = job;
         this.key = key;
         this.number = number;
         this.lastTry = lastTry;
         this.done = done;
         this.placed = placed;
+        this.text = text;
     }
 
     static Chunk empty(Job job, int number) {
-        return new Chunk(job, number, job.single() ? job.key() : key(job.spec.id(), number), 0, new BitSet(), new Places(number * Constants.CHUNK_TASKS, size(job, number)));
+        return new Chunk(job, number, job.single() ? job.key() : key(job.spec.id(), number), 0, new BitSet(), new Places(number * Constants.CHUNK_TASKS, size(job, number)), null);
     }
 
     /** The record it is kept in: the job's own, if one chunk is all there is. */
@@ -77,11 +81,25 @@
         for (int i = 0; i + 1 < d.size(); i += 2) {
             done.set(d.get(i).asInt(), d.get(i + 1).asInt());
         }
-        Places placed = new Places(number * Constants.CHUNK_TASKS, size(job, number));
-        String text = places(n.path("p"));
-        byte[] p = text.getBytes(StandardCharsets.ISO_8859_1);
+        byte[] p = places(n.path("p")).getBytes(StandardCharsets.ISO_8859_1);
         int first = number * Constants.CHUNK_TASKS;
-        for (int at = 0; at < p.length;) {
+        Places placed;
+        int from = 0;
+        int to = p.length;
+        if (before == null || before.text == null) {
+            placed = new Places(first, size(job, number));
+        } else {
+            // Most of a chunk is as before: only the places between what both texts begin and end with are read.
+            byte[] old = before.text;
+            from = alike(old, p);
+            int behind = alikeFromEnd(old, p, from);
+            to = p.length - behind;
+            placed = new Places(before.placed);
+            for (int at = from; at < old.length - behind; at = after(old, at, ';')) {
+                placed.remove(first + (int) number(old, at, after(old, at, ' ') - 1));
+            }
+        }
+        for (int at = from; at < to;) {
             int host = after(p, at, ' ');
             int index = first + (int) number(p, at, host - 1);
             int attemptAt = after(p, host, ' ');
@@ -90,19 +108,59 @@
             long attempt = number(p, attemptAt, stop ? end - 2 : end - 1);
             at = end;
             Placement old = before == null ? null : before.placed.get(index);
-            boolean same = old != null && old.attempt == attempt && old.host.length() == attemptAt - 1 - host && text.startsWith(old.host, host);
+            boolean same = old != null && old.attempt == attempt && is(old.host, p, host, attemptAt - 1);
             if (same && old.stop == stop) {
-                // Most of a chunk is as before: nothing to make, nothing to index.
                 placed.put(old);
                 continue;
             }
-            Placement next = new Placement(job, index, same ? old.host : text.substring(host, attemptAt - 1), attempt, stop, now);
+            Placement next = new Placement(job, index, same ? old.host : new String(p, host, attemptAt - 1 - host, StandardCharsets.ISO_8859_1),
+                    attempt, stop, now);
             if (same) {
                 next.inherit(old);
             }
             placed.put(next);
         }
-        return new Chunk(job, number, job.empty(number).key, n.path("t").asLong(), done, placed);
+        return new Chunk(job, number, job.empty(number).key, n.path("t").asLong(), done, placed, p);
+    }
+
+    /** Bytes that both texts begin with, up to the end of a place. */
+    private static int alike(byte[] a, byte[] b) {
+        int n = Arrays.mismatch(a, b);
+        n = n < 0 ? a.length : n;
+        while (n > 0 && a[n - 1] != ';') {
+            n--;
+        }
+        return n;
+    }
+
+    /** Bytes that both end with behind the first {@code from}, from the beginning of a place on. */
+    private static int alikeFromEnd(byte[] a, byte[] b, int from) {
+        int most = Math.min(a.length, b.length) - from;
+        int n = 0;
+        while (n < most && a[a.length - 1 - n] == b[b.length - 1 - n]) {
+            n++;
+        }
+        // A place begins behind the end of another one, or where both texts begin to differ.
+        while (n > 0 && !(begins(a, a.length - n, from) && begins(b, b.length - n, from))) {
+            n--;
+        }
+        return n;
+    }
+
+    private static boolean begins(byte[] text, int at, int from) {
+        return at == from || text[at - 1] == ';';
+    }
+
+    private static boolean is(String host, byte[] text, int from, int to) {
+        if (host.length() != to - from) {
+            return false;
+        }
+        for (int i = 0; i < host.length(); i++) {
+            if (host.charAt(i) != text[from + i]) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** The recorded places as one text: {@code index host attempt;} a task. Before version 0.2 they were lists of four values. */
--- a/src/main/java/io/quincelead/records/Job.java
+++ b/src/main/java/io/quincelead/records/Job.java
@@ -109,16 +109,30 @@
 
     void set(int number, Chunk next) {
         Chunk old = chunks[number];
+        Places before = old == null ? null : old.placed;
+        Places after = next == null ? null : next.placed;
+        if (before != null || after != null) {
+            Places.changes(before, after, (was, is) -> {
+                if (was != null) {
+                    count(was, -1);
+                }
+            });
+        }
+        chunks[number] = next;
         if (old != null) {
-            old.placed.forEach(p -> count(p, -1));
             done -= old.done.cardinality();
             placed -= old.placed.size();
         }
-        chunks[number] = next;
         if (next != null) {
             done += next.done.cardinality();
             placed += next.placed.size();
-            next.placed.forEach(p -> count(p, 1));
+        }
+        if (before != null || after != null) {
+            Places.changes(before, after, (was, is) -> {
+                if (is != null) {
+                    count(is, 1);
+                }
+            });
         }
     }
 
--- a/src/main/java/io/quincelead/records/JobTable.java
+++ b/src/main/java/io/quincelead/records/JobTable.java
@@ -196,36 +196,38 @@
             LOG.error("the places of {} in record {} can't be read; the record is left alone", job.spec.id(), number);
             return;
         }
-        if (before != null) {
-            for (Placement p : before.placed) {
-                if (next != null && next.placed.get(p.index) == p) {
-                    continue;
-                }
-                unindex(p);
-                if (next == null || !next.placed.has(p.index)) {
-                    onTouched.accept(p.host);
+        Places was = before == null ? null : before.placed;
+        Places is = next == null ? null : next.placed;
+        if (was == null && is == null) {
+            return;
+        }
+        Places.changes(was, is, (old, p) -> {
+            if (old != null) {
+                unindex(old);
+                if (p == null) {
+                    onTouched.accept(old.host);
                 }
             }
-        }
+        });
         job.set(number, next);
-        if (next != null) {
-            for (Placement p : next.placed) {
-                Placement old = before == null ? null : before.placed.get(p.index);
-                if (old == p) {
-                    continue;
-                }
-                boolean same = old != null && old.same(p.index, p.host, p.attempt);
-                if (!same) {
-                    onPlaced.accept(p);
-                }
-                if (!same || old.stop != p.stop) {
-                    onTouched.accept(p.host);
-                }
-                p.load = byHost.computeIfAbsent(p.host, h -> new HostLoad());
-                p.load.tasks.put(p.name(), p);
-                p.load.touch();
+        Places.changes(was, is, (old, p) -> {
+            if (p != null) {
+                index(old, p);
             }
+        });
+    }
+
+    private void index(Placement old, Placement p) {
+        boolean same = old != null && old.same(p.index, p.host, p.attempt);
+        if (!same) {
+            onPlaced.accept(p);
+        }
+        if (!same || old.stop != p.stop) {
+            onTouched.accept(p.host);
         }
+        p.load = byHost.computeIfAbsent(p.host, h -> new HostLoad());
+        p.load.tasks.put(p.name(), p);
+        p.load.touch();
     }
 
     private void unindex(Placement p) {
--- a/src/main/java/io/quincelead/records/Places.java
+++ b/src/main/java/io/quincelead/records/Places.java
@@ -47,6 +47,23 @@
         slots[index - first] = null;
     }
 
+    /** Takes what one chunk had and another has of a task; either may be null. */
+    interface Change {
+        void of(Placement before, Placement after);
+    }
+
+    /** Walks over the tasks whose places differ from those before; null: there were none. */
+    static void changes(Places before, Places after, Change change) {
+        int n = before == null ? after.slots.length : before.slots.length;
+        for (int i = 0; i < n; i++) {
+            Placement old = before == null ? null : before.slots[i];
+            Placement now = after == null ? null : after.slots[i];
+            if (old != now) {
+                change.of(old, now);
+            }
+        }
+    }
+
     @Override public int size() {
         return size;
     }
