--- a/src/main/java/io/quincelead/net/HttpClient.java
+++ b/src/main/java/io/quincelead/net/HttpClient.java
@@ -11,7 +11,6 @@
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.URI;
 import java.nio.ByteBuffer;
@@ -28,7 +27,6 @@
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
-import org.xnio.channels.StreamSourceChannel;
 
 /** HTTP calls on Undertow's client: kept connections, a bounded number a target, one call at a time on each. */
 public final class HttpClient implements Transport {
@@ -37,7 +35,6 @@
     private final XnioIoThread thread;
     private final ByteBufferPool pool = new DefaultByteBufferPool(false, 8 * 1024, 16, 0);
     private final Map<String, Target> targets = new HashMap<>();
-    /** Takes what one reading brings until it is copied, in the same turn of the loop; answers need no buffer of their own. */
     private final ByteBuffer incoming = ByteBuffer.allocate(8 * 1024);
 
     public HttpClient(Loop loop, XnioIoThread thread) {
@@ -222,43 +219,19 @@
     private void receive(Call call, ClientExchange exchange) {
         int status = exchange.getResponse().getResponseCode();
         boolean close = "close".equalsIgnoreCase(exchange.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION));
-        StreamSourceChannel channel = exchange.getResponseChannel();
-        ByteArrayOutputStream out = new ByteArrayOutputStream(size(exchange.getResponse().getResponseHeaders().getFirst(Headers.CONTENT_LENGTH)));
-        ChannelListener<StreamSourceChannel> reader = new ChannelListener<>() {
-            @Override public void handleEvent(StreamSourceChannel ch) {
-                try {
-                    for (;;) {
-                        incoming.clear();
-                        int n = ch.read(incoming);
-                        if (n < 0) {
-                            call.finish(status, out.toByteArray(), !close);
-                            return;
-                        }
-                        if (n == 0) {
-                            ch.getReadSetter().set(this);
-                            ch.resumeReads();
-                            return;
-                        }
-                        out.write(incoming.array(), 0, n);
-                        if (out.size() > Constants.MAX_ANSWER_BYTES) {
-                            throw new IOException("the answer is too large");
-                        }
-                    }
-                } catch (IOException e) {
-                    LOG.debug("{} {}{}: {}", call.method, call.address, call.path, e.toString());
+        new BodyReader(incoming, length(exchange.getResponse().getResponseHeaders().getFirst(Headers.CONTENT_LENGTH)), Constants.MAX_ANSWER_BYTES,
+                body -> call.finish(status, body, !close),
+                failed -> {
+                    LOG.debug("{} {}{}: {}", call.method, call.address, call.path, failed.toString());
                     call.finish(NO_ANSWER, null, false);
-                }
-            }
-        };
-        reader.handleEvent(channel);
+                }).handleEvent(exchange.getResponseChannel());
     }
 
-    /** Bytes to keep ready for an answer of the stated length, which is only a hint. */
-    private static int size(String length) {
+    private static long length(String stated) {
         try {
-            return length == null ? 512 : (int) Math.max(0, Math.min(Constants.MAX_BODY_BYTES, Long.parseLong(length)));
+            return stated == null ? -1 : Long.parseLong(stated);
         } catch (NumberFormatException e) {
-            return 512;
+            return -1;
         }
     }
 
--- a/src/main/java/io/quincelead/net/HttpServer.java
+++ b/src/main/java/io/quincelead/net/HttpServer.java
@@ -3,24 +3,20 @@
 import io.quincelead.base.Constants;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
-import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
-import org.xnio.ChannelListener;
 import org.xnio.Options;
 import org.xnio.XnioWorker;
-import org.xnio.channels.StreamSourceChannel;
 
 /** The HTTP server of one address, on Undertow. Handlers run on the I/O thread, which is the loop. */
 public final class HttpServer {
     private final Undertow undertow;
+    private final ByteBuffer incoming = ByteBuffer.allocate(8 * 1024);
 
     public HttpServer(XnioWorker worker, String address, int maxConnections, Request.Handler handler) {
         int colon = address.lastIndexOf(':');
@@ -46,7 +42,7 @@
         undertow.start();
     }
 
-    private static void accept(HttpServerExchange exchange, Request.Handler handler) {
+    private void accept(HttpServerExchange exchange, Request.Handler handler) {
         String length = exchange.getRequestHeaders().getFirst(Headers.CONTENT_LENGTH);
         if (exchange.getRequestContentLength() > Constants.MAX_BODY_BYTES) {
             exchange.setPersistent(false);
@@ -58,45 +54,14 @@
             return;
         }
         exchange.setMaxEntitySize(Constants.MAX_BODY_BYTES);
-        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> new Body(exchange, handler).handleEvent(exchange.getRequestChannel()));
-    }
-
-    /** Reads a request's body as it comes; Undertow's own receiver copies it byte by byte. */
-    private static final class Body implements ChannelListener<StreamSourceChannel> {
-        private final HttpServerExchange exchange;
-        private final Request.Handler handler;
-        private final ByteArrayOutputStream body;
-
-        Body(HttpServerExchange exchange, Request.Handler handler) {
-            this.exchange = exchange;
-            this.handler = handler;
-            this.body = new ByteArrayOutputStream((int) Math.max(512, exchange.getRequestContentLength()));
-        }
-
-        @Override public void handleEvent(StreamSourceChannel channel) {
-            try (PooledByteBuffer pooled = exchange.getConnection().getByteBufferPool().allocate()) {
-                ByteBuffer buffer = pooled.getBuffer();
-                for (;;) {
-                    buffer.clear();
-                    int n = channel.read(buffer);
-                    if (n < 0) {
-                        break;
-                    }
-                    if (n == 0) {
-                        channel.getReadSetter().set(this);
-                        channel.resumeReads();
-                        return;
-                    }
-                    body.write(buffer.array(), buffer.arrayOffset(), n);
-                }
-            } catch (IOException e) {
-                // Larger than allowed, or its sender is gone.
-                exchange.setPersistent(false);
-                handler.handle(new Incoming(exchange, null));
-                return;
-            }
-            handler.handle(new Incoming(exchange, body.toByteArray()));
-        }
+        BodyReader reader = new BodyReader(incoming, exchange.getRequestContentLength(), Constants.MAX_BODY_BYTES,
+                bytes -> handler.handle(new Incoming(exchange, bytes)),
+                failed -> {
+                    // Larger than allowed, or its sender is gone.
+                    exchange.setPersistent(false);
+                    handler.handle(new Incoming(exchange, null));
+                });
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> reader.handleEvent(exchange.getRequestChannel()));
     }
 
     private static final class Incoming extends Request {
