What is guaranteed stands in the plan alone; a walk over changed places takes two chunks that are both missing

Cause: reading the change again: Preemption got the set of guaranteed jobs beside the plan that holds it and worked out tiers anew, and three callers of Places.changes guarded against a case that it can answer itself. Change: Preemption asks the plan (Plan.tier, Plan.guaranteed); Places.changes walks over nothing where neither chunk is there. Ruled out: one text of settings for SettingsTest, PackagedIT and Rehearsal, which each vary it.

--- a/src/main/java/io/quincelead/placing/Preemption.java
+++ b/src/main/java/io/quincelead/placing/Preemption.java
@@ -14,7 +14,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /** Stops work that the protocol lets a job displace, as little and as cheap as will do. */
 final class Preemption {
@@ -23,7 +22,6 @@
     private final Settings settings;
     private final JobTable jobs;
     private final Plan plan;
-    private final Set<Job> guaranteed;
     /** Whether victims should share records, for the store's changes are short. */
     private final boolean together;
     /** What could be stopped, cheapest first, for those in a hurry and for others, by whom it is for. Made when needed. */
@@ -32,12 +30,11 @@
     private final Unmet unmet = new Unmet();
     private final Map<String, Unmet> unmetWithin = new HashMap<>();
 
-    Preemption(Loop loop, Settings settings, JobTable jobs, Plan plan, Set<Job> guaranteed, boolean together) {
+    Preemption(Loop loop, Settings settings, JobTable jobs, Plan plan, boolean together) {
         this.now = loop.now();
         this.settings = settings;
         this.jobs = jobs;
         this.plan = plan;
-        this.guaranteed = guaranteed;
         this.together = together;
     }
 
@@ -136,14 +133,14 @@
             return false;
         }
         if (v.urgency().ordinal() > forJob.spec.urgency().ordinal()) {
-            return QueueOrder.tier(v.urgency().ordinal(), guaranteed.contains(p.job)) > QueueOrder.tier(forJob.spec.urgency().ordinal(), within);
+            return plan.tier(p.job) > QueueOrder.tier(forJob.spec.urgency().ordinal(), within);
         }
         // For a guarantee the protocol lets us stop work of any urgency. We stop only work that comes after this job in the
         // queue: more urgent work would take the room back at once, and the two would displace each other without end. For
         // the same reason a job within its own team's guarantee is left alone, though that team runs more than that besides.
         Settings.Team team = settings.teams().get(v.owner());
         double[] use = plan.allUse.getOrDefault(v.owner(), new double[2]);
-        return within && v.urgency() == forJob.spec.urgency() && !guaranteed.contains(p.job) && !v.owner().equals(forJob.spec.owner()) && team != null
+        return within && v.urgency() == forJob.spec.urgency() && !plan.guaranteed.contains(p.job) && !v.owner().equals(forJob.spec.owner()) && team != null
                 && (use[0] - v.vcpus() >= team.cpus() || v.cards() > 0 && use[1] - v.cards() >= team.gpus());
     }
 
--- a/src/main/java/io/quincelead/placing/QueuePass.java
+++ b/src/main/java/io/quincelead/placing/QueuePass.java
@@ -173,13 +173,12 @@
     }
 
     private void walk(Plan plan, List<Job> candidates, Ends ends) {
-        Set<Job> guaranteed = plan.guaranteed;
         long wall = loop.wall();
         List<QueueOrder.Ranked> queue = new ArrayList<>(candidates.size());
-        candidates.forEach(j -> queue.add(order.rank(j, guaranteed.contains(j), wall)));
+        candidates.forEach(j -> queue.add(order.rank(j, plan.guaranteed.contains(j), wall)));
         queue.sort(QueueOrder.ORDER);
         Placer placer = new Placer(operator, machines, images, plan);
-        Preemption preemption = new Preemption(loop, settings, jobs, plan, guaranteed, store.pressure() > Constants.PRESSED);
+        Preemption preemption = new Preemption(loop, settings, jobs, plan, store.pressure() > Constants.PRESSED);
         Elsewhere elsewhere = new Elsewhere(plan);
         boolean lowDue = loop.now() >= lowAt;
         if (lowDue) {
--- a/src/main/java/io/quincelead/records/Job.java
+++ b/src/main/java/io/quincelead/records/Job.java
@@ -111,13 +111,11 @@
         Chunk old = chunks[number];
         Places before = old == null ? null : old.placed;
         Places after = next == null ? null : next.placed;
-        if (before != null || after != null) {
-            Places.changes(before, after, (was, is) -> {
-                if (was != null) {
-                    count(was, -1);
-                }
-            });
-        }
+        Places.changes(before, after, (was, is) -> {
+            if (was != null) {
+                count(was, -1);
+            }
+        });
         chunks[number] = next;
         if (old != null) {
             done -= old.done.cardinality();
@@ -127,13 +125,11 @@
             done += next.done.cardinality();
             placed += next.placed.size();
         }
-        if (before != null || after != null) {
-            Places.changes(before, after, (was, is) -> {
-                if (is != null) {
-                    count(is, 1);
-                }
-            });
-        }
+        Places.changes(before, after, (was, is) -> {
+            if (is != null) {
+                count(is, 1);
+            }
+        });
     }
 
     /** Whether its tasks' states are kept in the job's own record: most jobs then cost the store half the changes. */
--- a/src/main/java/io/quincelead/records/JobTable.java
+++ b/src/main/java/io/quincelead/records/JobTable.java
@@ -198,9 +198,6 @@
         }
         Places was = before == null ? null : before.placed;
         Places is = next == null ? null : next.placed;
-        if (was == null && is == null) {
-            return;
-        }
         Places.changes(was, is, (old, p) -> {
             if (old != null) {
                 unindex(old);
--- a/src/main/java/io/quincelead/records/Places.java
+++ b/src/main/java/io/quincelead/records/Places.java
@@ -52,9 +52,9 @@
         void of(Placement before, Placement after);
     }
 
-    /** Walks over the tasks whose places differ from those before; null: there were none. */
+    /** Walks over the tasks whose places differ from those before; null: there are none. */
     static void changes(Places before, Places after, Change change) {
-        int n = before == null ? after.slots.length : before.slots.length;
+        int n = before != null ? before.slots.length : after != null ? after.slots.length : 0;
         for (int i = 0; i < n; i++) {
             Placement old = before == null ? null : before.slots[i];
             Placement now = after == null ? null : after.slots[i];
