A change without an answer is settled by a fence before the next decision

Cause: a round that got no answer could be carried out seconds later, after a newer one. Its guards spoke of its own job and chunks and of the block, which no later round changes: two rounds could use up the same allowance (a team past its limit) or choose two zones for parts of one job. Likewise the leader's changes (adoption, grants, returns).

Change: state/Fence. All that an office decides bears one key (a controller's block, the leader's key). After an outcome that isn't known, it decides nothing until that key's record was rewritten and the watch is past it. Besides: a list's later pages give way to the watch for what is newer than the first (a chunk could be seen before its job, and then be ignored as known); a rental is settled under its own record's guard (a copy brought records of gone machines back); changes that wait together are merged only if their guards agree.

Ruled out: reading back alone, since the late change can still come; a guard on every allowance, which fails rounds that are well.

--- a/src/main/java/io/quincelead/cloud/Fleet.java
+++ b/src/main/java/io/quincelead/cloud/Fleet.java
@@ -68,7 +68,7 @@
         CloudClient cloud = new CloudClient(loop, transport, settings);
         QueueOrder order = new QueueOrder(settings, policy);
         this.demand = new Demand(loop, order, settings);
-        this.changes = new Changes(store, mirror);
+        this.changes = new Changes(store, mirror, leader);
         this.rentals = new Rentals(loop, session, mirror, store, blocks, machines, leader, cloud, changes);
         this.renting = new Renting(loop, settings, operator, jobs, machines, catalog, order, rentals, kinds, zones, policy, moves);
         this.returns = new Returns(loop, operator, mirror, store, blocks, jobs, machines, catalog, leader, cloud, changes, over, kinds);
--- a/src/main/java/io/quincelead/cloud/Rentals.java
+++ b/src/main/java/io/quincelead/cloud/Rentals.java
@@ -114,12 +114,18 @@
 
     /** Asks for a recorded rental; repeated under the same name until the cloud has said yes or no. */
     void ask(Rental r) {
-        if (!leader.leading() || !asking.add(r.name)) {
+        if (!leader.leading() || !leader.settled() || !asking.add(r.name)) {
             return;
         }
         ObjectNode body = Codec.map().put("rental", r.name).put("shape", r.shape).put("site", r.site).put("preemptible", r.spot).put("howMany", r.howMany);
         cloud.call("POST", "/rentals", body, false, (status, answer) -> {
-            Txn txn = leader.txn().remove(Keys.RENTAL + r.name);
+            // Settled once: carried out late, after the machines have gone again, it would bring their records back.
+            String key = Keys.RENTAL + r.name;
+            if (mirror.stamp(key) == 0) {
+                asking.remove(r.name);
+                return;
+            }
+            Txn txn = leader.txn().guard(key, mirror.stamp(key)).remove(key);
             int got = 0;
             if (status == 200 && answer.path("hosts").isArray()) {
                 MachineTable.Edits edits = machines.edits(txn);
@@ -152,6 +158,7 @@
 
     private void settle(Rental r, Txn txn) {
         store.commit(txn, outcome -> {
+            leader.heard(txn, outcome);
             if (outcome.result() == Txn.Result.DONE) {
                 mirror.applied(txn, outcome.generation());
             }
--- a/src/main/java/io/quincelead/leader/Leader.java
+++ b/src/main/java/io/quincelead/leader/Leader.java
@@ -11,6 +11,7 @@
 import io.quincelead.records.JobSpec;
 import io.quincelead.records.JobTable;
 import io.quincelead.records.MachineTable;
+import io.quincelead.state.Fence;
 import io.quincelead.state.Keys;
 import io.quincelead.state.Mirror;
 import io.quincelead.state.Session;
@@ -50,6 +51,7 @@
     private final Policy policy;
     private final Map<String, Stray> strays = new LinkedHashMap<>();
     private final Map<String, Long> aliveSince = new HashMap<>();
+    private final Fence fence;
     private BooleanSupplier rentalsOpen = () -> true;
     private Phase phase = Phase.FOLLOWING;
     private boolean busy;
@@ -70,6 +72,7 @@
         this.jobs = jobs;
         this.machines = machines;
         this.catalog = catalog;
+        this.fence = new Fence(loop, store, mirror, Keys.LEAD, () -> blocks.lead() == null ? null : txn().put(Keys.LEAD, blocks.lead().encode(), session.grant()));
         loop.every(Constants.LEADER_TICK_MS, this::tick);
         mirror.onChange(this::look);
     }
@@ -108,13 +111,23 @@
         return new Txn().guard(Keys.LEAD, mirror.stamp(Keys.LEAD));
     }
 
+    /** Takes the outcome of a change that bears the leader's guard. */
+    public void heard(Txn txn, Txn.Outcome outcome) {
+        fence.heard(txn, outcome);
+    }
+
+    /** Whether every change that bore the leader's guard has an outcome; until then the leader decides nothing by record. */
+    public boolean settled() {
+        return fence.clear();
+    }
+
     private void tick() {
         if (!session.valid() || !mirror.synced() || busy) {
             return;
         }
         if (blocks.lead() == null && blocks.node(settings.member()) != null) {
             stand();
-        } else if (leading() && (store.urgentAffordable() || blocks.mine() == null)) {
+        } else if (leading() && settled() && (store.urgentAffordable() || blocks.mine() == null)) {
             // Even the leader's changes don't go far into debt: what users wait for would pay for it.
             lead();
         }
@@ -124,7 +137,7 @@
         become(Phase.STANDING);
         long term = blocks.term() + 1;
         Txn txn = new Txn().guard(Keys.LEAD, 0).guard(Keys.TERM, mirror.stamp(Keys.TERM))
-                .put(Keys.LEAD, Codec.map().put("m", settings.member()).put("i", session.incarnation()).put("t", term), session.grant())
+                .put(Keys.LEAD, new Blocks.Lead(settings.member(), session.incarnation(), term).encode(), session.grant())
                 .put(Keys.TERM, Codec.map().put("n", term));
         commit(txn, () -> become(Phase.FOLLOWING));
     }
@@ -133,6 +146,7 @@
         busy = true;
         store.commit(txn, outcome -> {
             busy = false;
+            heard(txn, outcome);
             if (outcome.result() == Txn.Result.DONE) {
                 mirror.applied(txn, outcome.generation());
                 if (again) {
--- a/src/main/java/io/quincelead/placing/Rounds.java
+++ b/src/main/java/io/quincelead/placing/Rounds.java
@@ -17,6 +17,7 @@
 import io.quincelead.records.Kinds;
 import io.quincelead.records.MachineTable;
 import io.quincelead.records.Placement;
+import io.quincelead.state.Fence;
 import io.quincelead.state.Keys;
 import io.quincelead.state.Mirror;
 import io.quincelead.state.Session;
@@ -73,6 +74,8 @@
     /** When the round that is due runs; far off if none is. A timer that finds another time here is out of date. */
     private long dueAt = Long.MAX_VALUE;
     private final QueuePass queue;
+    /** Two rounds that know nothing of each other may use up the same allowance, or choose two zones for one job. */
+    private final Fence fence;
     /** Chunks with ends that aren't on record, and when they should be. */
     private final Map<Ref, Long> ended = new LinkedHashMap<>();
     private record Ref(Job job, int chunk) { }
@@ -95,6 +98,8 @@
         this.jobs = jobs;
         this.machines = machines;
         this.settled = settled;
+        this.fence = new Fence(loop, store, mirror, Keys.BLOCK + settings.member(), () -> blocks.mine() == null ? null
+                : new Txn().guard(blocks.mine().key(), mirror.stamp(blocks.mine().key())).put(blocks.mine().key(), blocks.mine().encode(), session.grant()));
         this.queue = new QueuePass(loop, settings, operator, store, blocks, jobs, machines, catalog, images, kinds, policy, new QueuePass.Machines() {
             @Override public boolean fit(String owner, String host) {
                 Own own = desk.own(host);
@@ -242,6 +247,10 @@
             putOff(Constants.RETRY_MS);
             return;
         }
+        if (!fence.clear()) {
+            putOff(Constants.RETRY_MS);
+            return;
+        }
         int changes = Math.min(store.affordable(), store.txnOps());
         boolean entering = !newcomers.isEmpty() && store.urgentAffordable();
         if (entering) {
@@ -276,6 +285,7 @@
         again = false;
         store.commit(plan.txn, outcome -> {
             become(Phase.IDLE);
+            fence.heard(plan.txn, outcome);
             if (outcome.result() == Txn.Result.DONE) {
                 mirror.applied(plan.txn, outcome.generation());
             }
@@ -290,8 +300,7 @@
                     LOG.debug("round: conflict on {}", outcome.failed());
                     loop.after(Constants.ROUND_GAP_MS, this::wake);
                 }
-                // Refused: nothing happened. Unknown: if it was applied, the guards make the next round fail until
-                // the watch has brought its result; so in both cases the plan is simply made anew.
+                // Refused: nothing happened, the plan is made anew. Unknown: the same, once the fence has settled it.
                 default -> loop.after(Constants.RETRY_MS, this::wake);
             }
             settled.run();
--- a/src/main/java/io/quincelead/records/Blocks.java
+++ b/src/main/java/io/quincelead/records/Blocks.java
@@ -20,7 +20,11 @@
     public record Node(String member, String address, long incarnation, long grant) { }
 
     /** The leadership, fixed to one incarnation of a controller. */
-    public record Lead(String member, long incarnation, long term) { }
+    public record Lead(String member, long incarnation, long term) {
+        public ObjectNode encode() {
+            return Codec.map().put("m", member).put("i", incarnation).put("t", term);
+        }
+    }
 
     /** What a team may use: CPUs and GPUs. */
     public record Amount(double cpus, double gpus) {
--- a/src/main/java/io/quincelead/state/Mirror.java
+++ b/src/main/java/io/quincelead/state/Mirror.java
@@ -74,6 +74,12 @@
         return stamps.getValue(key);
     }
 
+    /** Whether the key surely has this stamp no longer, and all that happened up to its next change has been applied. */
+    boolean past(String key, long stamp) {
+        long now = stamp(key);
+        return now != stamp && Math.max(now, tombstones.getValue(key)) <= generation;
+    }
+
     private void become(Phase next) {
         LOG.debug("mirror {} -> {}", phase, next);
         phase = next;
@@ -101,7 +107,10 @@
             for (JsonNode item : body.path("items")) {
                 last = item.path("path").asText();
                 seen.add(last);
-                put(last, item.path("value"), item.path("stamp").asLong());
+                // What is newer than the first page comes by the watch, in the store's order: a job's chunk must not come before the job.
+                if (item.path("stamp").asLong() <= from) {
+                    put(last, item.path("value"), item.path("stamp").asLong());
+                }
             }
             if (body.path("truncated").asBoolean() && last != null) {
                 page(last, from, seen);
--- a/src/main/java/io/quincelead/state/Txn.java
+++ b/src/main/java/io/quincelead/state/Txn.java
@@ -57,8 +57,13 @@
         ops.putAll(other.ops);
     }
 
-    /** Whether the two speak of a common key, so that they can't be merged without thought. */
+    /** Whether the two speak of a common key, so that they can't be merged without thought: each keeps what it was decided from. */
     public boolean touches(Txn other) {
+        for (Map.Entry<String, Long> g : other.guards.entrySet()) {
+            if (!g.getValue().equals(guards.getOrDefault(g.getKey(), g.getValue()))) {
+                return true;
+            }
+        }
         for (String k : other.ops.keySet()) {
             if (ops.containsKey(k) || guards.containsKey(k)) {
                 return true;
@@ -67,6 +72,19 @@
         return false;
     }
 
+    /**
+     * Whether this can't be carried out any more and all that it may have done is in the mirror: a guard has failed for good, and
+     * the watch has been past what made it fail. A guard of 0 proves nothing, for it holds again once its key is gone.
+     */
+    boolean settled(Mirror mirror) {
+        return guards.entrySet().stream().anyMatch(g -> g.getValue() != 0 && mirror.past(g.getKey(), g.getValue()));
+    }
+
+    /** Whether it can land only on a certain version of the key. */
+    boolean bears(String key) {
+        return guards.getOrDefault(key, 0L) != 0;
+    }
+
     int guardCount() {
         return guards.size();
     }
