Machines that hear nobody are found and given up; old reports move no machine

Cause: a machine whose reports arrive while answers and commands to it are lost counted as well: it got work that never began, a new owner waited for ever to be heard, and as it tries all controllers in turn it was called stuck and handed from one to the next. A copy of an old report did the same to machines that were well.

Change: reports that lack what the answers before started count (two: no new work, and its starts are placed elsewhere by that evidence); direct commands ask whether it hears; after the time that silence is borne it is given up, in a zone where most are so after a cut zone's time.

--- a/src/main/java/io/quincelead/base/Constants.java
+++ b/src/main/java/io/quincelead/base/Constants.java
@@ -164,6 +164,10 @@
     public static final long STRAY_MS = 2_500;
     /** Failures in a row of one job, all on the same machine, after which that machine is given up though nothing else failed there. */
     public static final int LONE_FAILURES = 8;
+    /** Reports of a worker, with what was asked for the check itself, by which it may have moved on since it reported here. */
+    public static final int STRAY_SERIALS = 3;
+    /** Reports in a row that lack what the answers before them started: one answer may be late or lost, more are no accident. */
+    public static final int DEAF_REPORTS = 2;
     /** Failures in a row, without a success between, that make a machine suspect. */
     public static final int SICK_FAILURES = 3;
     /** ms. First pause of a job whose tasks fail everywhere; doubles with each failure. */
--- a/src/main/java/io/quincelead/workers/Desk.java
+++ b/src/main/java/io/quincelead/workers/Desk.java
@@ -86,7 +86,7 @@
         this.store = store;
         this.transport = transport;
         this.office = office;
-        this.strays = new Strays(loop, settings, session, mirror, blocks, office::stray);
+        this.strays = new Strays(loop, settings, session, mirror, blocks, transport, office::stray);
         this.evidence = new Evidence(loop, jobs, office);
         this.orders = new Orders(loop, session, mirror, blocks, jobs);
         this.health = new Health(loop, settings, jobs, machines, catalog, policy, zones);
@@ -132,15 +132,16 @@
 
     private void release(Own o) {
         jobs.on(o.host).values().forEach(Placement::handedOver);
+        strays.left(o.host, o.reportTenure, o.reportSerial);
         if (o.parked != null) {
             strays.redirect(o.parked, o.host);
             o.parked = null;
         }
     }
 
-    /** Shows the worker our term at once, so that nothing from before can run there, and learns what it holds. */
+    /** Shows the worker our term at once, or whether it hears us, so that nothing from before can run there, and learns what it holds. */
     private void claim(Own o) {
-        if (mine.get(o.host) == o && o.phase() == Own.Phase.CLAIMING && o.addr != null && session.valid()) {
+        if (mine.get(o.host) == o && o.phase() != Own.Phase.LEAVING && o.addr != null && session.valid()) {
             o.claimedAt = loop.now();
             send(o, o.tenure < 0 ? 1 : o.tenure, Codec.list());
         }
@@ -282,6 +283,7 @@
                 }
                 return;
             }
+            o.obeyed();
             evidence.absorb(o, answer, false);
             touched.add(o.host);
             settle();
@@ -296,7 +298,7 @@
             return;
         }
         for (Own o : mine.values()) {
-            if (o.phase() == Own.Phase.CLAIMING && loop.now() - o.claimedAt > Constants.NEAR_TIMEOUT_MS) {
+            if ((o.phase() == Own.Phase.CLAIMING || o.deaf()) && loop.now() - o.claimedAt > Constants.NEAR_TIMEOUT_MS) {
                 claim(o);
             }
         }
--- a/src/main/java/io/quincelead/workers/Evidence.java
+++ b/src/main/java/io/quincelead/workers/Evidence.java
@@ -34,7 +34,7 @@
         o.tenure = tenure;
         o.serial = serial;
         if (isReport) {
-            o.reportedAt = loop.now();
+            o.reported();
             o.reportTenure = tenure;
             o.reportSerial = serial;
         }
@@ -56,24 +56,39 @@
             office.wake();
         }
         o.list = body.members;
+        boolean shown = false;
+        boolean lacking = false;
+        for (Placement p : jobs.on(o.host).values()) {
+            Report.Shown entry = Report.Shown.of(o.list.get(p.name()), p.attempt);
+            boolean sent = p.phase() == Placement.Phase.SENT;
+            shown |= sent && entry != null;
+            lacking |= sent && entry == null && answered(o, p);
+        }
+        if (isReport) {
+            o.heardUs(shown, lacking);
+        }
         for (Placement p : jobs.on(o.host).values()) {
             judge(o, p, Report.Shown.of(o.list.get(p.name()), p.attempt));
         }
         return true;
     }
 
+    /** Whether the machine has reported again since the answer that carried the start. */
+    static boolean answered(Own o, Placement p) {
+        return p.phase() == Placement.Phase.SENT
+                && (o.reportTenure > p.sentTenure || o.reportTenure == p.sentTenure && o.reportSerial > p.sentSerial);
+    }
+
     private void judge(Own o, Placement p, Report.Shown entry) {
         if (p.over()) {
             return;
         }
         if (entry == null) {
-            boolean answered = p.phase() == Placement.Phase.SENT
-                    && (o.reportTenure > p.sentTenure || o.reportTenure == p.sentTenure && o.reportSerial > p.sentSerial);
             if (p.phase() == Placement.Phase.SEEN) {
                 lost(o, p, "no longer on");
-            } else if (answered || p.phase() == Placement.Phase.RECORDED) {
-                // It never arrived there. The record stands, so its start may be sent (again), unless it is unwanted.
-                if (p.stop || p.job.cancelled()) {
+            } else if (answered(o, p) || p.phase() == Placement.Phase.RECORDED) {
+                // It never arrived there. The record stands, so its start may be sent (again), unless it is unwanted or nothing arrives.
+                if (p.stop || p.job.cancelled() || o.deaf()) {
                     lost(o, p, "never reached");
                 }
             }
--- a/src/main/java/io/quincelead/workers/Health.java
+++ b/src/main/java/io/quincelead/workers/Health.java
@@ -67,6 +67,8 @@
             boolean taken = o.draining() && o.warningLeftS() < -1;
             if (silence > (taken ? Constants.SILENCE_SLACK_MS + (long) (settings.workers().reportS() * 1500) : patienceMs(o, cutOff))) {
                 lost.put(o, "silent");
+            } else if (o.deafFor(cutOff ? cutPatienceMs(o) : silentMs)) {
+                lost.put(o, "doesn't hear us");
             } else if (o.failuresInRow >= Constants.SICK_FAILURES) {
                 lost.put(o, "fails what runs elsewhere");
             } else if (overdueCancel(o)) {
@@ -81,7 +83,7 @@
         return m == null ? "" : m.site();
     }
 
-    /** Zones of which hardly a machine can be heard here: not the machines are at fault but the way to them. */
+    /** Zones of which hardly a machine can be heard here, or hears us: not the machines are at fault but the way to them. */
     private Set<String> unreached(Collection<Own> mine) {
         long old = loop.now() - (long) (settings.workers().reportS() * 1000 * Constants.HEARD_REPORTS);
         Map<String, int[]> zones = new HashMap<>();
@@ -89,7 +91,7 @@
             if (!o.booting() || o.addr != null) {
                 int[] n = zones.computeIfAbsent(site(o), z -> new int[2]);
                 n[0]++;
-                n[1] += o.heard && o.heardAt >= old ? 1 : 0;
+                n[1] += o.heard && o.heardAt >= old && !o.deafFor(loop.now() - old) ? 1 : 0;
             }
         }
         Set<String> out = new HashSet<>();
--- a/src/main/java/io/quincelead/workers/Orders.java
+++ b/src/main/java/io/quincelead/workers/Orders.java
@@ -77,8 +77,7 @@
             // a start by such a record could be of a task that has been placed elsewhere since.
             return false;
         }
-        return p.phase() == Placement.Phase.RECORDED || p.phase() == Placement.Phase.SENT
-                && (o.reportTenure > p.sentTenure || o.reportTenure == p.sentTenure && o.reportSerial > p.sentSerial);
+        return p.phase() == Placement.Phase.RECORDED || Evidence.answered(o, p);
     }
 
     /** Whether there is something to tell the worker. */
--- a/src/main/java/io/quincelead/workers/Own.java
+++ b/src/main/java/io/quincelead/workers/Own.java
@@ -44,6 +44,11 @@
     long claimedAt;
     double warningS = -1;
     long warnedAt;
+    /** Reports in a row that didn't show what the answer to an earlier one had started; when the first of them came. */
+    int missed;
+    long missedSince;
+    /** When its first report came; a machine that boots is granted long before. */
+    private long firstReportAt = -1;
     int failuresInRow;
     final Set<String> failedJobs = new HashSet<>();
     long fullUntil;
@@ -80,9 +85,42 @@
         return r.tenure < reportTenure || r.tenure == reportTenure && r.serial <= reportSerial;
     }
 
+    /**
+     * Whether it reports but shows again and again that our answers don't reach it. What we start there never begins, and what it
+     * runs ends with its lease, though it seems as well as any other.
+     */
+    boolean deaf() {
+        return missed >= Constants.DEAF_REPORTS;
+    }
+
+    /** Whether it has reported for so long, ms, without showing that it hears us. */
+    boolean deafFor(long ms) {
+        return deaf() ? loop.now() - missedSince > ms : phase == Phase.CLAIMING && firstReportAt >= 0 && loop.now() - firstReportAt > ms;
+    }
+
+    void reported() {
+        reportedAt = loop.now();
+        firstReportAt = firstReportAt < 0 ? reportedAt : firstReportAt;
+    }
+
+    /** It has answered a direct command. */
+    void obeyed() {
+        missed = 0;
+    }
+
+    /** A report has been judged: {@code lacking}, a start of ours did not arrive; {@code shown}, one did. */
+    void heardUs(boolean shown, boolean lacking) {
+        if (shown) {
+            missed = 0;
+        } else if (lacking) {
+            missedSince = missed == 0 ? loop.now() : missedSince;
+            missed++;
+        }
+    }
+
     /** Whether new tasks may go there. */
     public boolean fit() {
-        return phase == Phase.FENCED && warningS < 0 && failuresInRow < Constants.SICK_FAILURES && loop.now() >= fullUntil
+        return phase == Phase.FENCED && !deaf() && warningS < 0 && failuresInRow < Constants.SICK_FAILURES && loop.now() >= fullUntil
                 && loop.now() - heardAt < silentMs / 2;
     }
 
