A cancelled job is ended by whoever was asked, if its own controller can't

Cause: a job whose controller the store refuses alone was ended by nobody until that was over, though the store served the others and no task had a place on record.

Cancellations asked, recorded and told are logged at debug.

--- a/src/main/java/io/quincelead/jobs/UserApi.java
+++ b/src/main/java/io/quincelead/jobs/UserApi.java
@@ -327,6 +327,7 @@
             return;
         }
         Job job = jobs.get(id);
+        LOG.debug("the cancellation of {} is asked for", id);
         if (job == null) {
             store.get(Keys.JOB + id, (status, body) -> {
                 if (status == 200) {
@@ -340,7 +341,7 @@
             return;
         }
         if (job.cancelled()) {
-            untilGone(id, request, loop.now() + Constants.USER_PATIENCE_MS);
+            untilGone(id, request, loop.now() + Constants.USER_PATIENCE_MS, false);
             return;
         }
         if (committer.full()) {
@@ -353,8 +354,9 @@
     private void commitCancel(Job job, Request request, long deadline) {
         Txn txn = new Txn().guard(job.key(), mirror.stamp(job.key())).put(job.key(), job.encode(job.controller, loop.wall()));
         committer.submit(txn, Math.max(0, deadline - loop.now()), outcome -> {
+            LOG.debug("the cancellation of {}: {}", job.spec.id(), outcome.result());
             switch (outcome.result()) {
-                case DONE -> untilGone(job.spec.id(), request, deadline);
+                case DONE -> untilGone(job.spec.id(), request, deadline, false);
                 case CONFLICT -> loop.after(Constants.BARRIER_GAP_MS, () -> {
                     if (loop.now() > deadline) {
                         request.later(503, "try again");
@@ -370,15 +372,22 @@
     /**
      * "Cancelled" is told when every task is gone, by evidence. Told before, it would be a promise that nobody can keep for
      * a machine behind a cut that the cloud can't release either: the time of {@code cancel_s} runs from the telling. From
-     * the record on nothing starts, and the job ends by itself; a user who is sent away asks again.
+     * the record on nothing starts, and the job ends by itself; a user who is sent away asks again. {@code empty}: at the last look
+     * no task had a place on record, and yet its own controller had not ended it; the store may refuse that one alone.
      */
-    private void untilGone(String id, Request request, long deadline) {
-        if (jobs.get(id) == null) {
+    private void untilGone(String id, Request request, long deadline, boolean empty) {
+        Job job = jobs.get(id);
+        boolean over = job != null && job.cancelled() && job.placedCount() == 0;
+        if (over && empty && ready() && !committer.full() && finishing.add(id)) {
+            end(job);
+        }
+        if (job == null) {
+            LOG.debug("the cancellation of {} is told", id);
             readFinal(id, request, () -> request.later(503, "try again"));
         } else if (loop.now() >= deadline) {
             request.later(503, "its tasks are being stopped");
         } else {
-            loop.after(Constants.BARRIER_GAP_MS, () -> untilGone(id, request, deadline));
+            loop.after(Constants.BARRIER_GAP_MS, () -> untilGone(id, request, deadline, over));
         }
     }
 
@@ -438,10 +447,12 @@
         }
         Txn txn = new Txn();
         for (String key : jobs.orphans()) {
-            if (!txn.fits(1, 0, store.txnOps())) {
+            // Only where the job is over for good: after a relist a chunk may be seen before its job.
+            String job = Keys.JOB + key.substring(Keys.CHUNK.length(), key.lastIndexOf('/'));
+            if (!txn.fits(1, 1, store.txnOps())) {
                 break;
             }
-            txn.remove(key);
+            txn.guard(job, 0).remove(key);
         }
         sweeping = true;
         committer.submit(txn, Constants.STORE_TIMEOUT_MS, outcome -> loop.after(Constants.RETRY_MS, () -> {
