--- a/src/test/java/io/quincelead/world/Net.java
+++ b/src/test/java/io/quincelead/world/Net.java
@@ -28,6 +28,18 @@
     /** Share of requests of which a copy arrives again, up to three minutes later; nobody hears the answer to a copy. */
     public double copies;
 
+    /** Share of the workers' reports of which a copy arrives again, from 2 s to well over a lease later. */
+    public double lateReports;
+    /** Share of direct commands that are held up for seconds, on their way or with their answer. */
+    public double heldCommands;
+    /** How many copies of reports arrived, and how many commands were held up. */
+    public int reportedLate;
+    public int commandsHeld;
+    /** Sees path and body of each request as it is sent. */
+    public java.util.function.BiConsumer<String, byte[]> sending = (path, body) -> { };
+    /** Who sent what is being handled. */
+    private String sender = "";
+
     public Net(Sim sim) {
         this.sim = sim;
     }
@@ -83,6 +95,7 @@
     }
 
     public void call(String from, String to, String method, String path, byte[] body, long timeoutMs, Answer answer) {
+        sending.accept(path, body);
         boolean[] over = {false};
         sim.after(timeoutMs, () -> {
             if (!over[0]) {
@@ -90,27 +103,49 @@
                 answer.got(0, null, 0);
             }
         });
+        if (lateReports > 0 && path.equals("/v1/report") && sim.random.nextDouble() < lateReports) {
+            reportedLate++;
+            sim.after(sim.random.nextInt(2_000, 45_000), () -> arrive(from, to, method, path, body, (status, out, retry) -> { }));
+        }
+        boolean held = heldCommands > 0 && path.equals("/orders") && sim.random.nextDouble() < heldCommands;
+        commandsHeld += held ? 1 : 0;
+        long there = held && sim.random.nextBoolean() ? sim.random.nextInt(1_000, 9_000) : 0;
+        long back = held ? sim.random.nextInt(0, 5_000) : 0;
         if (copies > 0 && sim.random.nextDouble() < copies) {
-            sim.after(sim.random.nextInt(100, 180_000), () -> arrive(to, method, path, body, (status, out, retry) -> { }));
+            sim.after(sim.random.nextInt(100, 180_000), () -> arrive(from, to, method, path, body, (status, out, retry) -> { }));
         }
-        packet(from, to, () -> arrive(to, method, path, body, (status, out, retry) -> {
+        packet(from, to, () -> later(there, () -> arrive(from, to, method, path, body, (status, out, retry) -> {
             if (sim.random.nextDouble() < lossy) {
                 return;
             }
-            packet(to, from, () -> {
+            packet(to, from, () -> later(back, () -> {
                 if (!over[0]) {
                     over[0] = true;
                     answer.got(status, out, retry);
                 }
-            });
-        }));
+            }));
+        })));
+    }
+
+    private void later(long ms, Runnable r) {
+        if (ms > 0) {
+            sim.after(ms, r);
+        } else {
+            r.run();
+        }
+    }
+
+    /** The IP of whoever sent the request that is being handled. */
+    String sender() {
+        return sender;
     }
 
-    private void arrive(String to, String method, String path, byte[] body, Answer answer) {
+    private void arrive(String from, String to, String method, String path, byte[] body, Answer answer) {
         Host host = hosts.get(to);
         if (host == null) {
             return;
         }
+        sender = ip(from);
         Map<String, String> query = new HashMap<>();
         int q = path.indexOf('?');
         if (q >= 0) {
--- a/src/test/java/io/quincelead/world/Seeds.java
+++ b/src/test/java/io/quincelead/world/Seeds.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 
-/** Plays random days of the test world over many seeds, for hunts: {@code Seeds rough|flood|quick|operators|zones FROM TO THREADS}. Not a test. */
+/** Plays random days of the test world over many seeds, for hunts: {@code Seeds rough|flood|quick|meetings|operators|zones FROM TO THREADS}. Not a test. */
 public final class Seeds {
     private Seeds() { }
 
@@ -39,15 +39,16 @@
             w = DaysTest.flood(seed);
         } else {
             w = new World(seed);
-            if (kind.equals("quick")) {
-                DaysTest.quick(w);
-            } else {
-                DaysTest.rough(w);
+            switch (kind) {
+                case "quick" -> DaysTest.quick(w);
+                case "meetings" -> Meetings.play(w);
+                default -> DaysTest.rough(w);
             }
         }
-        boolean good = w.broken().isEmpty() && w.unfinished().isEmpty() && w.service().leftBehind().isEmpty();
+        List<String> behind = kind.equals("meetings") ? Meetings.leftBehind(w) : w.service().leftBehind();
+        boolean good = w.broken().isEmpty() && w.unfinished().isEmpty() && behind.isEmpty();
         if (!good) {
-            System.out.println(kind + " " + seed + ": broken " + w.broken() + " open " + w.unfinished() + " left behind " + w.service().leftBehind());
+            System.out.println(kind + " " + seed + ": broken " + w.broken() + " open " + w.unfinished() + " left behind " + behind);
         }
         return good;
     }
--- a/src/test/java/io/quincelead/world/Store.java
+++ b/src/test/java/io/quincelead/world/Store.java
@@ -17,7 +17,7 @@
 
     private record Change(long generation, String key, JsonNode value) { }
 
-    private record Watch(String prefix, long after, Request request) { }
+    private record Watch(String prefix, long after, Request request, String from) { }
 
     private final Sim sim;
     private final int txnOps;
@@ -31,6 +31,17 @@
     /** Changes kept for watches. */
     public int kept = 10_000;
     public boolean down;
+    /** Controllers, by IP, that get 503 while the others are served; their open watches wait. */
+    private final java.util.Set<String> refused = new java.util.HashSet<>();
+    /** Share of transactions that get no answer and are carried out 2 to 12 s later, after newer ones. */
+    public double lateWrites;
+    /** How many of those were carried out, and how many failed by then. */
+    public int landedLate;
+    public int failedLate;
+    /** Items that a page of a list holds at most. */
+    public int page = 1_000;
+    /** ms. Each request takes up to so much longer. */
+    public long slowMs;
     /** How often each key of the ledger was written. */
     public final Map<String, Integer> ledgered = new HashMap<>();
     /** Which transactions get lost on their way, perhaps to arrive later. */
@@ -91,19 +102,41 @@
         notifyWatches();
     }
 
-    public void handle(Request r) {
-        if (r.path.equals("/watch") && !down) {
-            Watch w = new Watch(r.query.get("prefix"), Long.parseLong(r.query.get("after")), r);
+    /** Refuses one controller alone, or serves it again. */
+    public void refuse(String ip, boolean on) {
+        if (on) {
+            refused.add(ip);
+        } else {
+            refused.remove(ip);
+            notifyWatches();
+        }
+    }
+
+    private boolean out(String from) {
+        return down || refused.contains(from);
+    }
+
+    public void handle(Request r, String from) {
+        if (slowMs > 0) {
+            sim.after(sim.random.nextLong(slowMs), () -> take(r, from));
+        } else {
+            take(r, from);
+        }
+    }
+
+    private void take(Request r, String from) {
+        if (r.path.equals("/watch") && !out(from)) {
+            Watch w = new Watch(r.query.get("prefix"), Long.parseLong(r.query.get("after")), r, from);
             watches.add(w);
             sim.after(Long.parseLong(r.query.getOrDefault("holdMs", "0")), () -> {
-                if (!down && watches.remove(w)) {
+                if (!out(from) && watches.remove(w)) {
                     answer(w, news(w));
                 }
             });
             notifyWatches();
             return;
         }
-        if (down) {
+        if (out(from)) {
             r.refuse(503, "trouble");
             return;
         }
@@ -125,7 +158,11 @@
                 r.answer(200, Codec.map());
             }
         } else if (r.path.equals("/commit")) {
-            commit(r, body);
+            if (lateWrites > 0 && !body.path("then").isEmpty() && sim.random.nextDouble() < lateWrites) {
+                late(r, body, 2_000 + sim.random.nextLong(10_000));
+            } else {
+                commit(r, body);
+            }
         } else if (r.path.equals("/store")) {
             list(r);
         } else {
@@ -140,10 +177,29 @@
         }
     }
 
+    /** Carries a transaction out after so many ms; nobody hears of it. */
+    void late(Request r, ObjectNode body, long ms) {
+        sim.after(ms, () -> {
+            if (down) {
+                late(r, body, 1_000);
+                return;
+            }
+            long before = generation;
+            commit(new Request("POST", "/commit", Map.of(), new byte[0]) {
+                @Override protected void send(int status, Codec codec, byte[] out, int retryAfterS) { }
+            }, body);
+            if (generation > before) {
+                landedLate++;
+            } else {
+                failedLate++;
+            }
+        });
+    }
+
     private void list(Request r) {
         ArrayNode items = Codec.list();
         String prefix = r.query.get("prefix");
-        int limit = Integer.parseInt(r.query.getOrDefault("limit", "1000"));
+        int limit = Math.min(page, Integer.parseInt(r.query.getOrDefault("limit", "1000")));
         boolean more = false;
         for (Map.Entry<String, Entry> e : data.tailMap(r.query.getOrDefault("after", prefix), false).entrySet()) {
             if (e.getKey().startsWith(prefix)) {
@@ -218,6 +274,9 @@
             return;
         }
         for (Watch w : new ArrayList<>(watches)) {
+            if (out(w.from)) {
+                continue;
+            }
             if (changes.size() > kept && changes.get(changes.size() - kept).generation > w.after) {
                 watches.remove(w);
                 w.request.answer(410, Codec.map());
--- a/src/test/java/io/quincelead/world/Worker.java
+++ b/src/test/java/io/quincelead/world/Worker.java
@@ -53,6 +53,8 @@
     boolean gone;
     boolean hung;
     boolean sick;
+    /** Its reports arrive; answers and direct commands to it are lost. */
+    boolean deaf;
     double warningS = -1;
     private long tenure = 1;
     private long serial;
@@ -177,29 +179,40 @@
             if (mine != round) {
                 return;
             }
-            inFlight = false;
-            ObjectNode answer = Codec.CBOR.readMap(bytes);
-            if (status == 200 && answer != null) {
-                if (sim.now() - sent > 4000 || session != tenure || !answer.has("epoch") || answer.path("epoch").asLong() < epoch) {
-                    return;
-                }
-                leaseFrom = sent;
-                adopt(answer.path("epoch").asLong());
-                answer.path("orders").forEach(this::obey);
+            if (deaf && status != 0) {
+                sim.after(Math.max(0, 4000 - (sim.now() - sent)), () -> run(() -> answered(mine, sent, session, 0, null)));
                 return;
             }
-            String other = status == 421 && answer != null ? answer.path("controller").asText("") : "";
-            int named = world.index(other);
-            if (named >= 0 && named != target) {
-                target = named;
-                soon = true;
-            } else {
-                target = (target + 1) % world.controllers.size();
-                lastSent = sim.now() - world.reportMs + 1000;
-            }
+            answered(mine, sent, session, status, bytes);
         }));
     }
 
+    private void answered(int mine, long sent, long session, int status, byte[] bytes) {
+        if (mine != round) {
+            return;
+        }
+        inFlight = false;
+        ObjectNode answer = Codec.CBOR.readMap(bytes);
+        if (status == 200 && answer != null) {
+            if (sim.now() - sent > 4000 || session != tenure || !answer.has("epoch") || answer.path("epoch").asLong() < epoch) {
+                return;
+            }
+            leaseFrom = sent;
+            adopt(answer.path("epoch").asLong());
+            answer.path("orders").forEach(this::obey);
+            return;
+        }
+        String other = status == 421 && answer != null ? answer.path("controller").asText("") : "";
+        int named = world.index(other);
+        if (named >= 0 && named != target) {
+            target = named;
+            soon = true;
+        } else {
+            target = (target + 1) % world.controllers.size();
+            lastSent = sim.now() - world.reportMs + 1000;
+        }
+    }
+
     private void adopt(long token) {
         if (token > epoch) {
             epoch = token;
@@ -208,6 +221,9 @@
     }
 
     private void orders(Request r) {
+        if (deaf) {
+            return;
+        }
         checkLease();
         ObjectNode b = r.path.equals("/orders") ? Codec.CBOR.readMap(r.body) : Codec.map();
         if (r.path.equals("/orders")) {
--- a/src/test/java/io/quincelead/world/World.java
+++ b/src/test/java/io/quincelead/world/World.java
@@ -110,7 +110,7 @@
         net = new Net(sim);
         store = new Store(sim, 12);
         cloud = new Cloud(this, shapes);
-        net.host(STORE, store::handle);
+        net.host(STORE, r -> store.handle(r, net.sender()));
         net.host(CLOUD, cloud::handle);
         teams.put("red", new Settings.Team("red", 16, 40, 2, 4));
         teams.put("blue", new Settings.Team("blue", 16, 24, 2, 8));
@@ -276,6 +276,10 @@
 
     // ---- users and rules about answers
 
+    public boolean accepted(String id) {
+        return told.contains(id);
+    }
+
     public int accepted() {
         return told.size();
     }
@@ -395,6 +399,11 @@
         });
     }
 
+    /** When the user was told that the job is cancelled; -1: not yet. */
+    public long cancelledAt(String id) {
+        return cancelTold.getOrDefault(id, -1L);
+    }
+
     boolean cancelAsked(String id) {
         return cancelAsked.contains(id);
     }
