--- a/src/main/java/io/quincelead/leader/Leader.java
+++ b/src/main/java/io/quincelead/leader/Leader.java
@@ -56,6 +56,8 @@
     private Phase phase = Phase.FOLLOWING;
     private boolean busy;
     private boolean again;
+    /** Which controller is the next to get jobs of lost ones that use something. */
+    private int heirs;
     private long allowancesAt;
     private long adoptedAt;
     private long balancedAt;
@@ -452,25 +454,38 @@
 
     // ---- jobs of lost controllers
 
+    /**
+     * What a job's tasks use moves with it, beside what its new controller may use by its allowance. A round that this one planned
+     * before it knew of the job must not land after it, so the new controller's block is rewritten in the same change; jobs that use
+     * something go to one heir at a time, for a block's record is large.
+     */
     private void reassign(Txn txn) {
         List<String> alive = blocks.all().stream().map(Blocks.Block::member).filter(m -> blocks.node(m) != null).toList();
         if (alive.isEmpty()) {
             return;
         }
         int turn = 0;
+        String heir = alive.get(heirs % alive.size());
         List<Job> left = new ArrayList<>();
         jobs.all().stream().filter(j -> blocks.node(j.controller) == null).forEach(left::add);
         // Those first that have something to be done; what runs needs a controller only when something happens to it.
         left.sort(Comparator.comparing((Job j) -> j.pendingCount() == 0 && !j.cancelled()).thenComparing(j -> j.spec.urgency()));
         int most = store.affordable();
         for (Job j : left) {
-            if (txn.writes() >= most || !txn.fits(1, 1, store.txnOps())) {
+            boolean uses = j.placedCount() > 0;
+            Blocks.Block inherits = blocks.of(heir);
+            int writes = uses && !txn.puts(inherits.key()) ? 2 : 1;
+            if (txn.writes() + writes > most || !txn.fits(writes, 2 + writes, store.txnOps())) {
                 break;
             }
             // Only after the lost controller's block is gone: then nothing it placed can be unknown to us.
             if (blocks.of(j.controller) == null) {
                 txn.guard(j.key(), mirror.stamp(j.key())).guard(Keys.BLOCK + j.controller, 0)
-                        .put(j.key(), j.encode(alive.get(turn++ % alive.size()), j.cancelledAt));
+                        .put(j.key(), j.encode(uses ? heir : alive.get(turn++ % alive.size()), j.cancelledAt));
+                if (writes > 1) {
+                    heirs++;
+                    txn.guard(inherits.key(), mirror.stamp(inherits.key())).put(inherits.key(), inherits.encode(), blocks.node(heir).grant());
+                }
             }
         }
     }
--- a/src/main/java/io/quincelead/state/Txn.java
+++ b/src/main/java/io/quincelead/state/Txn.java
@@ -38,6 +38,11 @@
         return this;
     }
 
+    /** Whether it writes this key. */
+    public boolean puts(String key) {
+        return ops.containsKey(key);
+    }
+
     public int writes() {
         return ops.size();
     }
