--- a/src/test/java/io/quincelead/world/MeetingsTest.java
+++ b/src/test/java/io/quincelead/world/MeetingsTest.java
@@ -339,7 +339,8 @@
             w.sim.after(2_000, () -> w.submit(s));
         }
         w.sim.run(15_000);
-        w.net.lateReports = 0.5;
+        w.net.lateReports = 1;
+        w.net.latestMs = seed == 1 ? 45_000 : 9_000;
         w.troubled(130_000);
         // Machines change hands, by loss and by balance, so that copies reach those who had them.
         Troubles.crash(w, (Meetings.leader(w) + 1) % 3, 1_000);
--- a/src/test/java/io/quincelead/world/Net.java
+++ b/src/test/java/io/quincelead/world/Net.java
@@ -30,6 +30,7 @@
 
     /** Share of the workers' reports of which a copy arrives again, from 2 s to well over a lease later. */
     public double lateReports;
+    public int latestMs = 45_000;
     /** Share of direct commands that are held up for seconds, on their way or with their answer. */
     public double heldCommands;
     /** How many copies of reports arrived, and how many commands were held up. */
@@ -105,7 +106,7 @@
         });
         if (lateReports > 0 && path.equals("/v1/report") && sim.random.nextDouble() < lateReports) {
             reportedLate++;
-            sim.after(sim.random.nextInt(2_000, 45_000), () -> arrive(from, to, method, path, body, (status, out, retry) -> { }));
+            sim.after(sim.random.nextInt(2_000, latestMs), () -> arrive(from, to, method, path, body, (status, out, retry) -> { }));
         }
         boolean held = heldCommands > 0 && path.equals("/orders") && sim.random.nextDouble() < heldCommands;
         commandsHeld += held ? 1 : 0;
