A kill of what has not been sent yet asks at once whether it is there

Change: such tasks are named in the kills that go at once; the worker has none to kill, and its answer is the evidence (our term, newer, and we have sent no start of it under this term).

--- a/src/main/java/io/quincelead/workers/Orders.java
+++ b/src/main/java/io/quincelead/workers/Orders.java
@@ -50,12 +50,16 @@
         return body;
     }
 
-    /** Kills to be sent at once; null if there are none. */
+    /**
+     * Kills to be sent at once; null if there are none. A kill of what we have sent no start of changes nothing on the machine, but its
+     * answer shows at once that the task isn't there.
+     */
     ArrayNode kills(Own o) {
         long now = loop.now();
         ArrayNode out = null;
         for (Placement p : jobs.on(o.host).values()) {
-            if (!wanted(p) && p.phase() == Placement.Phase.SEEN && !p.reported.equals("saving")
+            boolean there = p.phase() == Placement.Phase.SEEN && !p.reported.equals("saving");
+            if (!wanted(p) && (there || p.phase() == Placement.Phase.RECORDED)
                     && (p.killedAt == 0 || now - p.killedAt > Constants.KILL_AGAIN_MS)) {
                 out = out == null ? Codec.list() : out;
                 if (out.size() < Constants.MAX_ORDERS) {
