Whoever ends a job guards every chunk of it, also those it knows nothing of

The asked controller may end a cancelled job in place of the job's own. One whose watch is behind knows the job and not yet that its first tasks got places; the cancellation's guard on the job holds, since a chunk's record is another key, and it would have told cancelled while tasks ran.

Change: the end bears a guard on every chunk, of 0 where none is known; jobs with more chunks than guards fit are ended by their own controller alone. Every other end bears the same guards.

Ruled out: the leader ending a lost controller's job (its mirror has passed the loss, so all that one placed).

Result: whoHasNotHeardOfTheFirstTasksEndsNoJob, seen to fail without the guard (told while tasks were on machines).

--- a/src/main/java/io/quincelead/jobs/UserApi.java
+++ b/src/main/java/io/quincelead/jobs/UserApi.java
@@ -378,7 +378,8 @@
     private void untilGone(String id, Request request, long deadline, boolean empty) {
         Job job = jobs.get(id);
         boolean over = job != null && job.cancelled() && job.placedCount() == 0;
-        if (over && empty && ready() && !committer.full() && finishing.add(id)) {
+        // Every chunk must fit the guards: its own controller alone knows all of a larger job.
+        if (over && empty && job.chunks.length < store.txnOps() && ready() && !committer.full() && finishing.add(id)) {
             end(job);
         }
         if (job == null) {
@@ -416,9 +417,15 @@
         ObjectNode last = Codec.map().put("s", status).put("n", done);
         Txn txn = new Txn().guard(job.key(), mirror.stamp(job.key())).remove(job.key()).put(Keys.FINAL + id, last);
         policy.ended(job, last, txn, loop.wall());
-        for (Chunk c : job.chunks) {
-            if (c != null && !job.single() && txn.fits(1, 1, store.txnOps())) {
-                txn.guard(c.key(), mirror.stamp(c.key())).remove(c.key());
+        for (int k = 0; k < job.chunks.length; k++) {
+            String key = job.chunk(k).key();
+            boolean there = job.chunks[k] != null;
+            if (!job.single() && txn.fits(there ? 1 : 0, 1, store.txnOps())) {
+                // Also where none is known: whoever else ends a job may not have heard yet that its tasks got places.
+                txn.guard(key, mirror.stamp(key));
+                if (there) {
+                    txn.remove(key);
+                }
             }
         }
         if (!job.complete() && !job.cancelled()) {
--- a/src/test/java/io/quincelead/world/MeetingsTest.java
+++ b/src/test/java/io/quincelead/world/MeetingsTest.java
@@ -499,6 +499,33 @@
         }
     }
 
+    /** The controller that is asked to cancel hasn't heard yet that the job's first tasks have places: it must not call it cancelled. */
+    @Test void whoHasNotHeardOfTheFirstTasksEndsNoJob() {
+        World w = world(6, 3, 18);
+        w.start();
+        w.sim.run(8_000);
+        int asked = (Meetings.leader(w) + 1) % 3;
+        int other = (Meetings.leader(w) + 2) % 3;
+        boolean[] met = {false, false};
+        w.store.arriving = t -> {
+            if (!met[0] && names(t.path("then"), "put", "a/t/wk-000001/")) {
+                met[0] = true;
+                w.store.blind(w.controllers.get(asked).ip, true);
+                w.cancel("wk-000001", asked);
+                w.sim.after(4_000, () -> w.store.blind(w.controllers.get(asked).ip, false));
+            }
+        };
+        w.submit(Jobs.array(1, "red", JobSpec.Urgency.NORMAL, 250, 0.2, 100), other);
+        for (int t = 8_000; t < 30_000; t += 10) {
+            w.sim.after(t - 8_000, () -> met[1] |= w.cancelledAt("wk-000001") >= 0
+                    && w.cloud.machines.values().stream().anyMatch(m -> m.tasks.values().stream().anyMatch(Worker.Task::on)));
+        }
+        w.sim.run(60_000);
+        assertTrue(met[0] && w.starts.get("wk-000001") > 0, "the meeting: " + w.starts);
+        assertTrue(!met[1], "told while tasks were on machines");
+        assertAllDone(w, 1);
+    }
+
     /** Half of the jobs are cancelled as soon as their places are on record: who had no start yet once waited for its machine's next report. */
     @Test void whatWasNeverStartedIsToldAtOnce() {
         World w = world(5, 1, 12);
--- a/src/test/java/io/quincelead/world/World.java
+++ b/src/test/java/io/quincelead/world/World.java
@@ -387,9 +387,14 @@
     }
 
     public void cancel(String id) {
+        cancel(id, -1);
+    }
+
+    /** Cancels at one controller; below 0: at any. */
+    public void cancel(String id, int controller) {
         cancelAsked.add(id);
         String before = finalTold.get(id);
-        net.call(USERS, any().listen, "POST", "/v2/runs/" + id + "/cancel", Codec.CBOR.write(Codec.map()), 5000, (status, body, retry) -> {
+        net.call(USERS, (controller < 0 ? any() : controllers.get(controller)).listen, "POST", "/v2/runs/" + id + "/cancel", Codec.CBOR.write(Codec.map()), 5000, (status, body, retry) -> {
             if (status == 200) {
                 String s = Codec.CBOR.readMap(body).path("status").asText();
                 answered(id, s, before);
@@ -397,7 +402,7 @@
                     cancelTold.putIfAbsent(id, sim.now());
                 }
             } else {
-                sim.after(1000L * Math.max(1, retry), () -> cancel(id));
+                sim.after(1000L * Math.max(1, retry), () -> cancel(id, controller));
             }
         });
     }
