--- a/src/test/java/io/quincelead/world/MeetingsTest.java
+++ b/src/test/java/io/quincelead/world/MeetingsTest.java
@@ -101,6 +101,47 @@
         assertEquals(40, w.specs.keySet().stream().filter(id -> w.cancelledAt(id) >= 0).count());
     }
 
+    /** What else happens in the gap. */
+    private enum Besides { TWO_REFUSED_IN_TURN, CONFIRMER_ENDS, OLD_LEADER_BACK_WITH_THE_STORE, ANOTHER_GAP }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void whateverElseHappensInTheGap(long seed) {
+        for (Besides besides : Besides.values()) {
+            World w = world(seed, 3, 16);
+            w.leaseMs = LONG_LEASE_MS;
+            w.start();
+            for (int i = 1; i <= 30; i++) {
+                JobSpec s = Jobs.array(i, "red", JobSpec.Urgency.NORMAL, 1 + i % 3, 1, 150);
+                w.sim.after(2_000 + i * 200L, () -> w.submit(s));
+            }
+            w.sim.run(30_000);
+            int old = Meetings.leader(w);
+            long apart = 2_000 + seed * 700;
+            Meetings.refuse(w, old, 14_000);
+            for (int i = 1; i <= 20; i++) {
+                String id = String.format("wk-%06d", i);
+                w.sim.after(w.sim.random.nextLong(1_500), () -> w.cancel(id));
+            }
+            w.sim.after(apart, () -> Meetings.outage(w, 60_000));
+            switch (besides) {
+                case TWO_REFUSED_IN_TURN -> w.sim.after(apart / 2, () -> Meetings.refuse(w, (old + 1) % 3, 12_000));
+                case CONFIRMER_ENDS -> w.sim.after(apart - 100, () -> Troubles.crash(w, (old + 1) % 3, 300));
+                case OLD_LEADER_BACK_WITH_THE_STORE -> w.sim.after(apart + 59_800, () -> Troubles.crash(w, old, 250));
+                default -> w.sim.after(apart + 75_000, () -> {
+                    Meetings.refuse(w, Math.max(0, Meetings.leader(w)), 14_000);
+                    w.cancel("wk-000021");
+                    w.sim.after(apart, () -> Meetings.outage(w, 60_000));
+                });
+            }
+            w.sim.run(30_000 + apart + 10);
+            assertTrue(w.specs.keySet().stream().anyMatch(id -> w.cancelledAt(id) >= 30_000), besides + ": nobody was told in the gap");
+            w.sim.run(500_000);
+            assertAllDone(w, 30);
+            assertTrue(w.specs.keySet().stream().filter(id -> w.cancelledAt(id) >= 0).count() >= 20, besides + ": not all were told");
+        }
+    }
+
     /**
      * A round that got no answer lands seconds later, after a newer one that gave its team's room to somebody else. Its guards spoke
      * of its own job and of the block alone, which no later round had changed: a team once passed its limit.
