One order of a worker's messages; a report's starts are looked up only where one is on its way

Change: Report.newer serves all four; Evidence.arrivals looks only at starts that were sent, and only for reports. Behaviour is the same.

Ruled out: one loop for both, since the judgement needs to know whether the machine is deaf.

--- a/src/main/java/io/quincelead/workers/Evidence.java
+++ b/src/main/java/io/quincelead/workers/Evidence.java
@@ -28,7 +28,7 @@
     boolean absorb(Own o, Report body, boolean isReport) {
         long tenure = body.tenure;
         long serial = body.serial;
-        if (tenure < o.tenure || tenure == o.tenure && serial <= o.serial) {
+        if (!Report.newer(tenure, serial, o.tenure, o.serial)) {
             return false;
         }
         o.tenure = tenure;
@@ -56,16 +56,8 @@
             office.wake();
         }
         o.list = body.members;
-        boolean shown = false;
-        boolean lacking = false;
-        for (Placement p : jobs.on(o.host).values()) {
-            Report.Shown entry = Report.Shown.of(o.list.get(p.name()), p.attempt);
-            boolean sent = p.phase() == Placement.Phase.SENT;
-            shown |= sent && entry != null;
-            lacking |= sent && entry == null && answered(o, p);
-        }
         if (isReport) {
-            o.heardUs(shown, lacking);
+            arrivals(o);
         }
         for (Placement p : jobs.on(o.host).values()) {
             judge(o, p, Report.Shown.of(o.list.get(p.name()), p.attempt));
@@ -73,10 +65,23 @@
         return true;
     }
 
+    /** Looks whether the starts that were sent and not yet seen have arrived: only those, for every report passes here. */
+    private void arrivals(Own o) {
+        boolean shown = false;
+        boolean lacking = false;
+        for (Placement p : jobs.on(o.host).values()) {
+            if (p.phase() == Placement.Phase.SENT) {
+                boolean there = Report.Shown.of(o.list.get(p.name()), p.attempt) != null;
+                shown |= there;
+                lacking |= !there && answered(o, p);
+            }
+        }
+        o.heardUs(shown, lacking);
+    }
+
     /** Whether the machine has reported again since the answer that carried the start. */
     static boolean answered(Own o, Placement p) {
-        return p.phase() == Placement.Phase.SENT
-                && (o.reportTenure > p.sentTenure || o.reportTenure == p.sentTenure && o.reportSerial > p.sentSerial);
+        return p.phase() == Placement.Phase.SENT && Report.newer(o.reportTenure, o.reportSerial, p.sentTenure, p.sentSerial);
     }
 
     private void judge(Own o, Placement p, Report.Shown entry) {
--- a/src/main/java/io/quincelead/workers/Own.java
+++ b/src/main/java/io/quincelead/workers/Own.java
@@ -82,7 +82,7 @@
 
     /** Whether this very report, or one that the worker sent after it, came before. */
     boolean seen(Report r) {
-        return r.tenure < reportTenure || r.tenure == reportTenure && r.serial <= reportSerial;
+        return !Report.newer(r.tenure, r.serial, reportTenure, reportSerial);
     }
 
     /**
--- a/src/main/java/io/quincelead/workers/Report.java
+++ b/src/main/java/io/quincelead/workers/Report.java
@@ -65,6 +65,11 @@
 
     private Report() { }
 
+    /** Whether a message of a worker is newer than another one, by tenure and serial (protocol, "Workers"). */
+    static boolean newer(long tenure, long serial, long thanTenure, long thanSerial) {
+        return tenure > thanTenure || tenure == thanTenure && serial > thanSerial;
+    }
+
     /** The report in a body; null if it is none: malformed input is never an exception. */
     static Report read(byte[] body) {
         if (body == null || body.length == 0) {
--- a/src/main/java/io/quincelead/workers/Strays.java
+++ b/src/main/java/io/quincelead/workers/Strays.java
@@ -54,7 +54,7 @@
     /** Whether a newer report has been here; else this is the newest now. */
     private boolean old(Report r) {
         long[] last = newest.get(r.host);
-        if (last != null && (r.tenure < last[0] || r.tenure == last[0] && r.serial <= last[1])) {
+        if (last != null && !Report.newer(r.tenure, r.serial, last[0], last[1])) {
             return true;
         }
         newest.put(r.host, new long[] {r.tenure, r.serial});
