A submission repeated while its first one is being recorded isn't taken for new

Cause: found by LostAnswersTest with close looks: a repeated submission waited for a round while another request recorded the job; the round planned the job twice, once as entering, and its user was told 201. Change: who enters with a round is looked up once more as the round is made.

--- a/src/main/java/io/quincelead/placing/Rounds.java
+++ b/src/main/java/io/quincelead/placing/Rounds.java
@@ -262,7 +262,13 @@
         }
         List<Newcomer> taken = new ArrayList<>();
         while (entering && !newcomers.isEmpty() && taken.size() < Plan.most(changes, blocks.all().size(), store.txnOps())) {
-            taken.add(newcomers.pollFirst());
+            Newcomer n = newcomers.pollFirst();
+            if (jobs.get(n.job.spec.id()) == null) {
+                taken.add(n);
+            } else {
+                // Recorded since it was taken in, by another submission of the same job: it must not be told as new, nor be planned twice.
+                n.done.got(new Txn.Outcome(Txn.Result.CONFLICT, 0, Set.of(n.job.key())));
+            }
         }
         Plan plan;
         try {
--- a/src/test/java/io/quincelead/world/Meetings.java
+++ b/src/test/java/io/quincelead/world/Meetings.java
@@ -262,6 +262,14 @@
         }
     }
 
+    /** s. Who could have begun for so long and did not is left behind; less is what a gap between two tasks of a team at its limit looks like. */
+    private static final int COULD_S = 45;
+
+    /** The same without those whose team was at its limit with work as urgent, or for whom there was no room: by what was on the machines. */
+    static List<String> leftBehindThoughTheyCould(World w) {
+        return leftBehind(w).stream().filter(t -> !t.startsWith("wk-") || w.couldBegin(t.substring(0, t.indexOf(' '))) > COULD_S).toList();
+    }
+
     /** Who was left behind, though the time in which the store was down is not counted: nothing begins without it. */
     static List<String> leftBehind(World w) {
         return w.service().leftBehind(Service.BEGIN_MS + w.store.downMs);
--- a/src/test/java/io/quincelead/world/Seeds.java
+++ b/src/test/java/io/quincelead/world/Seeds.java
@@ -47,6 +47,10 @@
             }
         }
         List<String> behind = kind.equals("meetings") || kind.equals("first") ? Meetings.leftBehind(w) : w.service().leftBehind();
+        if (kind.equals("meetings") && !behind.isEmpty()) {
+            List<String> could = Meetings.leftBehindThoughTheyCould(w);
+            behind = behind.stream().map(t -> could.contains(t) ? t : t + " (there was no room for it, or its team was at its limit)").toList();
+        }
         boolean good = w.broken().isEmpty() && w.unfinished().isEmpty() && behind.isEmpty();
         if (!good) {
             System.out.println(kind + " " + seed + ": broken " + w.broken() + " open " + w.unfinished() + " left behind " + behind);
