--- a/src/main/java/io/quincelead/base/Constants.java
+++ b/src/main/java/io/quincelead/base/Constants.java
@@ -168,6 +168,8 @@
     public static final int LONE_FAILURES = 8;
     /** Reports of a worker, with what was asked for the check itself, by which it may have moved on since it reported here. */
     public static final int STRAY_SERIALS = 3;
+    /** ms between questions to a machine that doesn't report: rare enough for hundreds of them, each of which may cost a connection that hangs. */
+    public static final long QUIET_ASK_MS = 4_000;
     /** Reports in a row that lack what the answers before them started: one answer may be late or lost, more are no accident. */
     public static final int DEAF_REPORTS = 2;
     /** Failures in a row, without a success between, that make a machine suspect. */
--- a/src/main/java/io/quincelead/jobs/UserApi.java
+++ b/src/main/java/io/quincelead/jobs/UserApi.java
@@ -168,11 +168,14 @@
             return "owner: unknown team";
         }
         if (!catalog.fitsSome(s)) {
-            return "no allowed machine type holds one task";
+            return "shapes, site, vcpus, cards, ramGb: no allowed machine type holds one task";
         }
         int atOnce = s.mode() == JobSpec.Mode.ARRAY ? 1 : s.members();
         if (s.vcpus() * atOnce > team.cpusMax() + 1e-9 || s.cards() * atOnce > team.gpusMax() + 1e-9) {
-            return "more than the team's limit";
+            return "members, vcpus, cards: more than the team's limit";
+        }
+        if (s.mode() != JobSpec.Mode.ARRAY && s.scatter() && s.members() > 1 && (s.oneZone() || s.site() != null)) {
+            return "scatter: all tasks at once in one zone are more than half of them";
         }
         return null;
     }
--- a/src/main/java/io/quincelead/workers/Desk.java
+++ b/src/main/java/io/quincelead/workers/Desk.java
@@ -275,16 +275,14 @@
             if (mine.get(o.host) != o || answer == null || status != 200 && status != 409) {
                 return;
             }
-            if (status == 409) {
+            // Also a refusal is the worker's word: of a new session that knows our term, it proves what the old one ran to be over.
+            evidence.absorb(o, answer, false);
+            if (status == 200) {
+                o.obeyed();
+            } else if (answer.tenure > tenure && o.phase() == Own.Phase.CLAIMING) {
                 // Nothing was executed; a newer session of the worker is claimed under its number.
-                if (answer.tenure > tenure && o.phase() == Own.Phase.CLAIMING) {
-                    o.tenure = Math.max(o.tenure, answer.tenure);
-                    claim(o);
-                }
-                return;
+                claim(o);
             }
-            o.obeyed();
-            evidence.absorb(o, answer, false);
             touched.add(o.host);
             settle();
         });
@@ -298,7 +296,8 @@
             return;
         }
         for (Own o : mine.values()) {
-            if ((o.phase() == Own.Phase.CLAIMING || o.deaf()) && loop.now() - o.claimedAt > Constants.NEAR_TIMEOUT_MS) {
+            boolean asks = o.phase() == Own.Phase.CLAIMING || o.deaf();
+            if (loop.now() - o.claimedAt > (asks ? Constants.NEAR_TIMEOUT_MS : o.quiet() ? Constants.QUIET_ASK_MS : Long.MAX_VALUE)) {
                 claim(o);
             }
         }
--- a/src/main/java/io/quincelead/workers/Evidence.java
+++ b/src/main/java/io/quincelead/workers/Evidence.java
@@ -38,7 +38,7 @@
             o.reportTenure = tenure;
             o.reportSerial = serial;
         }
-        o.heardAt = loop.now();
+        o.heardAt = isReport || !o.heard ? loop.now() : o.heardAt;
         o.heard = true;
         if (body.warningS >= 0) {
             if (o.warningS < 0) {
@@ -79,9 +79,9 @@
         o.heardUs(shown, lacking);
     }
 
-    /** Whether the machine has reported again since the answer that carried the start. */
+    /** Whether the machine has reported again since the answer that carried the start, or has begun another session, which drops that answer. */
     static boolean answered(Own o, Placement p) {
-        return p.phase() == Placement.Phase.SENT && Report.newer(o.reportTenure, o.reportSerial, p.sentTenure, p.sentSerial);
+        return p.phase() == Placement.Phase.SENT && (Report.newer(o.reportTenure, o.reportSerial, p.sentTenure, p.sentSerial) || o.tenure > p.sentTenure);
     }
 
     private void judge(Own o, Placement p, Report.Shown entry) {
@@ -93,7 +93,7 @@
                 lost(o, p, "no longer on");
             } else if (answered(o, p) || p.phase() == Placement.Phase.RECORDED) {
                 // It never arrived there. The record stands, so its start may be sent (again), unless it is unwanted or nothing arrives.
-                if (p.stop || p.job.cancelled() || o.deaf()) {
+                if (p.stop || p.job.cancelled() || o.deaf() || o.quiet()) {
                     lost(o, p, "never reached");
                 }
             }
--- a/src/main/java/io/quincelead/workers/Own.java
+++ b/src/main/java/io/quincelead/workers/Own.java
@@ -37,6 +37,7 @@
     long serial = -1;
     long reportTenure = -1;
     long reportSerial = -1;
+    /** When it last reported or, before that, first answered: a machine that only answers gets no start and reaches nobody. */
     long heardAt;
     long reportedAt;
     /** Whether anything came from it under this term: before, it may still be booting. */
@@ -103,6 +104,11 @@
         firstReportAt = firstReportAt < 0 ? reportedAt : firstReportAt;
     }
 
+    /** Whether it hasn't reported for so long that it may reach nobody: no start can leave for it, but it may answer when it is asked. */
+    boolean quiet() {
+        return phase == Phase.FENCED && loop.now() - heardAt > silentMs / 2;
+    }
+
     /** It has answered a direct command. */
     void obeyed() {
         missed = 0;
--- a/src/test/java/io/quincelead/jobs/UserApiTest.java
+++ b/src/test/java/io/quincelead/jobs/UserApiTest.java
@@ -79,6 +79,10 @@
         assertEquals(422, submit(good(3).put("vcpus", 17)));
         assertEquals(422, submit(good(3).put("site", "nowhere")));
         assertEquals(422, submit(good(3).put("mode", "ensemble").put("members", 41)));
+        assertTrue(answer.path("error").asText().contains("members"));
+        ObjectNode apart = good(3).put("mode", "ensemble").put("oneZone", true).put("scatter", true);
+        assertEquals(422, submit(apart));
+        assertTrue(answer.path("error").asText().contains("scatter"));
         ObjectNode shape = good(3);
         shape.putArray("shapes").add("small");
         assertEquals(422, submit(shape.put("cards", 1)));
--- a/src/test/java/io/quincelead/world/Net.java
+++ b/src/test/java/io/quincelead/world/Net.java
@@ -110,9 +110,18 @@
         void got(int status, byte[] body, int retryAfterS);
     }
 
-    public void call(String from, String to, String method, String path, byte[] body, long timeoutMs, Answer answer) {
+    /** Questions under way, and the most at once. */
+    private int open;
+    public int mostOpen;
+
+    public void call(String from, String to, String method, String path, byte[] body, long timeoutMs, Answer got) {
         sending.accept(path, body);
         boolean[] over = {false};
+        mostOpen = Math.max(mostOpen, ++open);
+        Answer answer = (status, out, retry) -> {
+            open--;
+            got.got(status, out, retry);
+        };
         sim.after(timeoutMs, () -> {
             if (!over[0]) {
                 over[0] = true;
--- a/src/test/java/io/quincelead/world/Service.java
+++ b/src/test/java/io/quincelead/world/Service.java
@@ -35,6 +35,10 @@
         submittedAt.putIfAbsent(s.id(), world.sim.now());
     }
 
+    long submittedAt(String id) {
+        return submittedAt.get(id);
+    }
+
     void began(JobSpec s, String task) {
         firstAt.putIfAbsent(s.id(), world.sim.now());
         Set<String> tasks = begun.computeIfAbsent(s.id(), i -> new HashSet<>());
--- a/src/test/java/io/quincelead/world/World.java
+++ b/src/test/java/io/quincelead/world/World.java
@@ -84,6 +84,8 @@
     private final Set<String> told = new HashSet<>();
     private final Map<String, String> finalTold = new HashMap<>();
     private final Map<String, Long> cancelTold = new HashMap<>();
+    /** ms from the first attempt to submit until somebody was told that the job is accepted. */
+    final Map<String, Long> acceptedAfter = new HashMap<>();
     /** When a question about a job was last answered, by its submission at first. */
     private final Map<String, Long> answeredAt = new HashMap<>();
     private final Service service = new Service(this);
@@ -363,6 +365,7 @@
             if (status == 200 || status == 201) {
                 if (told.add(s.id())) {
                     answeredAt.put(s.id(), sim.now());
+                    acceptedAfter.put(s.id(), sim.now() - service.submittedAt(s.id()));
                     sim.after(5000, () -> poll(s.id()));
                     users.accepted(s);
                 }
