Work that nothing has served for a minute may use machines kept for others' GPUs; tests of a round's own guards

Change: a job of which nothing found a place for 60 s counts as waiting long. Tests: a round's guards on the job and on the block, each with its meeting asserted.

--- a/src/main/java/io/quincelead/base/Constants.java
+++ b/src/main/java/io/quincelead/base/Constants.java
@@ -267,6 +267,8 @@
     public static final double LATE_TO = 0.8;
     /** s. From this age on, work for which nobody states a bound may use machines that should be left to others. */
     public static final double LATE_AFTER_S = 90;
+    /** ms. And work of which nothing found a place for so long, whatever its age: users bear 90 s while a machine has room. */
+    public static final long PASSED_OVER_MS = 60_000;
     /** One and so many parts of a job's tasks are what it begins with, before any other late job gets more. */
     public static final int LATE_BEGIN_PART = 100;
     /** Records of each change that are kept for such tasks, and, while changes are short, as many as a round writes for them. */
--- a/src/main/java/io/quincelead/placing/Placer.java
+++ b/src/main/java/io/quincelead/placing/Placer.java
@@ -54,7 +54,7 @@
         int tasks = Math.min(wanted, plan.quota(s));
         if (s.urgency() == JobSpec.Urgency.BEST_EFFORT && s.ordinary()) {
             // What urgent work will need before long is left free: displacing low work costs it its run, and the store changes.
-            tasks = Math.min(tasks, Tebas.remainCap(plan.freeCpus() - plan.reserve, Double.MAX_VALUE, 0, s.vcpus(), 0, 0));
+            tasks = Math.min(tasks, Tebas.remainCap((anywhere ? plan.freeCpus(true) : plan.freeCpus()) - plan.reserve, Double.MAX_VALUE, 0, s.vcpus(), 0, 0));
         }
         if (tasks <= 0 || s.gang() && tasks < wanted || (anywhere ? unmetAnywhere : unmet).covers(s)) {
             return wanted;
--- a/src/main/java/io/quincelead/placing/Plan.java
+++ b/src/main/java/io/quincelead/placing/Plan.java
@@ -162,14 +162,20 @@
     /** CPUs that are free in rooms whose GPUs nobody seeks. */
     double freeCpus() {
         if (Double.isNaN(freeCpus)) {
-            freeCpus = 0;
-            for (Room r : rooms.values()) {
-                freeCpus += r.open() && !r.kind.sought ? r.freeCpus() : 0;
-            }
+            freeCpus = freeCpus(false);
         }
         return freeCpus;
     }
 
+    /** The same, also in the others if {@code anywhere}. */
+    double freeCpus(boolean anywhere) {
+        double free = 0;
+        for (Room r : rooms.values()) {
+            free += r.open() && (anywhere || !r.kind.sought) ? r.freeCpus() : 0;
+        }
+        return free;
+    }
+
     boolean edits(Job job) {
         return edits.values().stream().anyMatch(e -> e.chunk().job == job && e.changed());
     }
--- a/src/main/java/io/quincelead/placing/QueuePass.java
+++ b/src/main/java/io/quincelead/placing/QueuePass.java
@@ -67,6 +67,9 @@
     private int gangChanges;
     /** Since when a job has found no room in this block. */
     private final Map<Job, Long> stuckSince = new HashMap<>();
+    /** Since when nothing of a waiting job has found a place here. */
+    private final Map<Job, Long> passedOver = new HashMap<>();
+
     /** A machine of another block that had room for a job at each look since then. */
     private record Lasting(String host, long since) { }
 
@@ -146,6 +149,7 @@
         if (!waiting) {
             stuckSince.clear();
             lasting.clear();
+            passedOver.clear();
             ends.record(plan);
             return;
         }
@@ -287,6 +291,9 @@
             }
             boolean held = r.late() && plan.holds(job);
             int left = placer.place(r, false);
+            if (left < Math.min(r.most(), wanted)) {
+                passedOver.put(job, loop.now());
+            }
             if (left > 0 && r.late()) {
                 if (!job.spec.ordinary()) {
                     // Ordinary work finds machines elsewhere: those whose GPUs gangs seek are no way out for it.
@@ -307,7 +314,9 @@
                     saving.putIfAbsent(job.spec.owner(), r.tier());
                 }
                 int unmet = preemption.makeRoom(r, left, placer.zonesFor(job));
-                if (unmet > 0 && (r.urgency() == JobSpec.Urgency.PRODUCTION.ordinal() || waitedLong)) {
+                // What is kept for others' GPUs serves work that nothing else has served for long: empty, it would serve nobody.
+                boolean passed = loop.now() - passedOver.computeIfAbsent(job, j -> loop.now()) > Constants.PASSED_OVER_MS;
+                if (unmet > 0 && (r.urgency() == JobSpec.Urgency.PRODUCTION.ordinal() || waitedLong || passed)) {
                     left = placer.place(r, true);
                 }
                 if (left > 0 && !plan.leading && elsewhere.better(job, stuck)) {
@@ -320,6 +329,7 @@
         }
         stuckSince.keySet().retainAll(stuck);
         lasting.keySet().retainAll(stuck);
+        passedOver.keySet().removeIf(j -> j.waitingCount() == 0 || jobs.get(j.spec.id()) != j);
     }
 
     /**
--- a/src/test/java/io/quincelead/world/MoreMeetingsTest.java
+++ b/src/test/java/io/quincelead/world/MoreMeetingsTest.java
@@ -492,4 +492,64 @@
             assertEquals(Set.of(), w.broken());
         }
     }
+
+    /**
+     * A larger job, whose tasks are in records of their own, is cancelled and ended by another controller while its own one hears nothing
+     * and finds room for it: the round is guarded by the job's record too, or tasks of a cancelled job would start.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void aRoundForALargerJobThatEndedElsewhereStartsNothing(long seed) {
+        World w = world(seed, 3, 12);
+        w.teams.put("red", new Settings.Team("red", 0, 40, 0, 0));
+        w.start();
+        w.sim.run(9_000);
+        int own = (Meetings.leader(w) + 1) % 3;
+        int other = (Meetings.leader(w) + 2) % 3;
+        // The team is at its limit by tasks that end at 20 s or a little later, so that the larger job has no place until then.
+        w.submit(Jobs.array(1, "red", JobSpec.Urgency.PRODUCTION, 40, 1, 16), own);
+        w.sim.run(12_000);
+        JobSpec large = Jobs.array(2, "red", JobSpec.Urgency.NORMAL, 230, 0.2, 20);
+        w.submit(large, own);
+        w.sim.run(13_000);
+        assertEquals(0, w.starts.getOrDefault(large.id(), 0));
+        w.store.blind(w.controllers.get(own).ip, true);
+        int[] tried = {0};
+        w.store.arriving = t -> tried[0] += names(t.path("then"), "put", "a/t/wk-000002/") ? 1 : 0;
+        w.cancel(large.id(), other);
+        w.sim.run(40_000);
+        assertTrue(w.cancelledAt(large.id()) >= 0 && w.cancelledAt(large.id()) < 18_000, "told at " + w.cancelledAt(large.id()));
+        assertTrue(tried[0] > 0, "its own controller never tried");
+        w.store.blind(w.controllers.get(own).ip, false);
+        w.sim.run(200_000);
+        assertEquals(0, w.starts.getOrDefault(large.id(), 0));
+        assertAllDone(w, 2);
+    }
+
+    /** A controller that hears nothing has room left by an allowance that has gone to another: its round is guarded by its block. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void aRoundByAnAllowanceThatHasGoneElsewhereFails(long seed) {
+        World w = world(seed, 3, 18);
+        w.start();
+        w.sim.run(9_000);
+        int behind = (Meetings.leader(w) + 1) % 3;
+        int other = (Meetings.leader(w) + 2) % 3;
+        // The allowance comes to where the want is, and stays there when that has ended.
+        w.submit(Jobs.array(1, "blue", JobSpec.Urgency.NORMAL, 12, 2, 4), behind);
+        w.sim.run(30_000);
+        assertTrue(w.finalTold("wk-000001"));
+        w.store.blind(w.controllers.get(behind).ip, true);
+        w.submit(Jobs.array(2, "blue", JobSpec.Urgency.HIGH, 12, 2, 60), other);
+        w.sim.run(42_000);
+        assertTrue(use(w, "blue") > 20, "use: " + use(w, "blue"));
+        int[] tried = {0};
+        w.store.arriving = t -> tried[0] += names(t.path("then"), "put", "a/j/wk-000003") && names(t.path("guards"), "path", "a/b/") ? 1 : 0;
+        w.submit(Jobs.array(3, "blue", JobSpec.Urgency.HIGH, 12, 1, 20), behind);
+        w.sim.run(50_000);
+        assertTrue(tried[0] > 0, "it never tried");
+        w.store.blind(w.controllers.get(behind).ip, false);
+        w.sim.run(300_000);
+        assertAllDone(w, 3);
+    }
 }
