A copy of a taking-in finds its guard gone

Cause: the taking-in of machines that nobody had rented guards a record that is new; when that record is gone again a copy of the change brings back machines that are gone. Change: each taking-in changes a key of its own (a/ti), as rentals do. Measured: aCopyOfATakingInBringsNoMachinesBack, seen to fail without it (200 instead of 409).

--- a/src/main/java/io/quincelead/cloud/CloudList.java
+++ b/src/main/java/io/quincelead/cloud/CloudList.java
@@ -116,7 +116,7 @@
                 boolean failed = h.path("status").asText().equals("failed");
                 double age = h.path("ageS").asDouble();
                 if (m == null) {
-                    if (adopt && !failed && !returns.released(host) && !txn.fits(1, 1, store.txnOps())) {
+                    if (adopt && !failed && !returns.released(host) && !txn.fits(2, 2, store.txnOps())) {
                         listAt = now - Constants.LIST_EVERY_MS + Constants.RENT_TICK_MS;
                     } else if (adopt && !failed && !returns.released(host)) {
                         adopted++;
--- a/src/main/java/io/quincelead/leader/Leader.java
+++ b/src/main/java/io/quincelead/leader/Leader.java
@@ -246,7 +246,7 @@
         }
         boolean adopt = mayAdopt() && loop.now() - adoptedAt >= Constants.ADOPT_GAP_MS;
         for (Stray s : new ArrayList<>(strays.values())) {
-            if (!txn.fits(1 + next.size() + 1, 4, store.txnOps())) {
+            if (!txn.fits(2 + next.size() + 1, 5, store.txnOps())) {
                 again = true;
                 break;
             }
--- a/src/main/java/io/quincelead/records/MachineTable.java
+++ b/src/main/java/io/quincelead/records/MachineTable.java
@@ -177,6 +177,8 @@
                 adopting.put(kind, group);
             }
             put(new Machine(host, group, shape, site, spot, rentedAt).at(addr));
+            // The record may be gone again when a copy of this comes: its guard of 0 would then hold, and bring back machines that are gone.
+            txn.guard(Keys.TAKEN_IN, mirror.stamp(Keys.TAKEN_IN)).put(Keys.TAKEN_IN, Codec.map());
         }
 
         public void put(Machine m) {
--- a/src/main/java/io/quincelead/state/Keys.java
+++ b/src/main/java/io/quincelead/state/Keys.java
@@ -26,6 +26,8 @@
     public static final String RENTAL = "a/r/";
     /** How many rentals were ever recorded: each record of new ones changes it, so that a copy of that change finds its guard gone. */
     public static final String RENTALS = "a/rn";
+    /** Changed with each taking-in of unexpected machines, so that a copy of that change finds its guard gone. */
+    public static final String TAKEN_IN = "a/ti";
     /** Chunks of a job's tasks. */
     public static final String CHUNK = "a/t/";
     /** Which generation of the operators' priority classes rules, was the last good one, or is proposed. */
--- a/src/test/java/io/quincelead/world/MeetingsTest.java
+++ b/src/test/java/io/quincelead/world/MeetingsTest.java
@@ -253,6 +253,30 @@
         assertAllDone(w, 1);
     }
 
+    /** The same of a taking-in of machines that nobody had rented. */
+    @Test void aCopyOfATakingInBringsNoMachinesBack() {
+        World w = new World(2, List.of(new Cloud.Shape("small", 8, 0, 32, 0.4, 0.15, 5, List.of("a"), 40)));
+        w.cloud.present("small", "a", 6);
+        List<ObjectNode> taken = new ArrayList<>();
+        w.store.arriving = t -> {
+            if (names(t.path("then"), "put", "a/m/s-")) {
+                taken.add(t);
+            }
+        };
+        w.start();
+        w.sim.run(60_000);
+        assertTrue(!taken.isEmpty());
+        long end = 60_000;
+        while (w.store.keys().stream().anyMatch(k -> k.startsWith("a/m/")) && end < 400_000) {
+            w.sim.run(end += 1_000);
+        }
+        assertTrue(end < 400_000, "machines stayed: " + w.store.keys());
+        int[] status = {0};
+        deliver(w, taken.get(0), status);
+        w.sim.run(end + 1_000);
+        assertEquals(409, status[0]);
+    }
+
     /**
      * Controllers read the store anew, page by page, while large jobs come and begin: a chunk on a late page was seen before its job,
      * taken for what an old job left behind, and later ignored as known; its tasks were placed twice.
