--- a/src/main/java/io/quincelead/placing/QueuePass.java
+++ b/src/main/java/io/quincelead/placing/QueuePass.java
@@ -240,6 +240,7 @@
         boolean pressed = store.pressure() > Constants.PRESSED;
         Preemption preemption = new Preemption(loop, settings, jobs, plan, pressed, policy);
         Elsewhere elsewhere = new Elsewhere(plan);
+        boolean sought = plan.kinds.values().stream().anyMatch(k -> k.sought);
         boolean lowDue = loop.now() >= lowAt;
         if (lowDue) {
             lowAt = loop.now() + store.paced(0, Constants.LOW_GAP_MAX_MS);
@@ -291,7 +292,7 @@
             }
             boolean held = r.late() && plan.holds(job);
             int left = placer.place(r, false);
-            if (left < Math.min(r.most(), wanted)) {
+            if (sought && left < Math.min(r.most(), wanted)) {
                 passedOver.put(job, loop.now());
             }
             if (left > 0 && r.late()) {
@@ -315,7 +316,7 @@
                 }
                 int unmet = preemption.makeRoom(r, left, placer.zonesFor(job));
                 // What is kept for others' GPUs serves work that nothing else has served for long: empty, it would serve nobody.
-                boolean passed = loop.now() - passedOver.computeIfAbsent(job, j -> loop.now()) > Constants.PASSED_OVER_MS;
+                boolean passed = sought && loop.now() - passedOver.computeIfAbsent(job, j -> loop.now()) > Constants.PASSED_OVER_MS;
                 if (unmet > 0 && (r.urgency() == JobSpec.Urgency.PRODUCTION.ordinal() || waitedLong || passed)) {
                     left = placer.place(r, true);
                 }
@@ -429,7 +430,13 @@
             } else if (!still) {
                 lasting.put(job, new Lasting(any, loop.now()));
             }
-            return still && loop.now() - before.since >= Constants.HAND_OVER_LASTING_MS;
+            // Room for one serves one: all that wait here would else go to the leader for it. What low work leaves to urgent arrivals lasts, too.
+            boolean low = s.urgency() == JobSpec.Urgency.BEST_EFFORT && s.ordinary() && plan.reserve > 0;
+            if (low || !still || loop.now() - before.since < Constants.HAND_OVER_LASTING_MS) {
+                return false;
+            }
+            lasting.clear();
+            return true;
         }
 
         private Map<List<Object>, Room.Kind> others() {
