--- a/src/test/java/io/quincelead/world/LostAnswersTest.java
+++ b/src/test/java/io/quincelead/world/LostAnswersTest.java
@@ -8,6 +8,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quincelead.net.Codec;
 import io.quincelead.records.JobSpec;
 import java.util.ArrayList;
 import java.util.List;
@@ -217,6 +218,57 @@
         }
     }
 
+    /**
+     * The store takes its time: cancellations and ends are recorded between a hand-over's plan and its landing, which must not undo them,
+     * as it rewrites the jobs' records as its writer knew them.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void aHandOverThatWasOvertakenUndoesNothing(long seed) {
+        World w = world(70 + seed, 4, 24);
+        w.patienceMs = 200_000;
+        w.start();
+        w.sim.run(9_000);
+        int lost = (Meetings.leader(w) + 1) % 4;
+        for (int i = 1; i <= 40; i++) {
+            JobSpec s = Jobs.array(i, i % 2 == 0 ? "red" : "blue", JobSpec.Urgency.NORMAL, 1 + i % 3, 1, i % 3 == 0 ? 9 : 60);
+            w.sim.after(i * 50L, () -> w.submit(s, lost));
+        }
+        w.sim.run(16_000);
+        w.controllers.get(lost).kill();
+        w.store.slowMs = 900;
+        int[] overtaken = {0};
+        w.store.arriving = t -> {
+            if (Commit.REASSIGNMENT.is.test(t)) {
+                for (JsonNode op : t.path("then")) {
+                    JsonNode now = w.store.value(op.path("put").asText());
+                    boolean job = op.path("put").asText().startsWith("a/j/");
+                    overtaken[0] += job && (now == null || now.has("x") && !op.path("value").has("x")) ? 1 : 0;
+                }
+            }
+        };
+        w.users.closeLooks = true;
+        // As the change is sent, its jobs are cancelled at others: of two requests to a slow store either may be carried out first.
+        w.net.sending = (path, body) -> {
+            ObjectNode t = path.equals("/commit") ? Codec.CBOR.readMap(body) : null;
+            if (t != null && Commit.REASSIGNMENT.is.test(t)) {
+                for (JsonNode op : t.path("then")) {
+                    String id = op.path("put").asText().startsWith("a/j/") ? op.path("put").asText().substring(4) : "";
+                    if (!id.isEmpty() && !w.cancelAsked(id)) {
+                        w.sim.after(1, () -> w.cancel(id, (lost + 2 + w.sim.random.nextInt(2)) % 4));
+                    }
+                }
+            }
+        };
+        w.sim.after(25_000, () -> w.store.slowMs = 0);
+        w.sim.after(30_000, w.controllers.get(lost)::start);
+        w.troubled(50_000);
+        w.sim.run(50_000);
+        assertTrue(overtaken[0] > 0, "no hand-over was overtaken");
+        w.sim.run(400_000);
+        assertAllDone(w, 40);
+    }
+
     /** Answers get lost while everybody reads and submits again, and leaders end: nothing is accepted twice or forgotten. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
