Meetings: the listener for troubles goes, nobody in the tests sets it

Cause: read again: a static hook that served tracing by hand alone. Change: removed. Measured: whateverElseMeetsTheRulesAreKept and CheckerTest pass as before.

--- a/src/test/java/io/quincelead/world/Meetings.java
+++ b/src/test/java/io/quincelead/world/Meetings.java
@@ -9,9 +9,6 @@
 
 /** Troubles that meet: each of the kinds that broke rules on real machines, alone or drawn together a few seconds apart. */
 final class Meetings {
-    /** Hears of each trouble as it comes. */
-    static Consumer<String> trace = t -> { };
-
     private Meetings() { }
 
     /** What can meet. */
@@ -83,7 +80,6 @@
         int leads = Math.max(0, leader(w));
         String ip = w.controllers.get(leads).ip;
         w.troubled(w.sim.now() + span);
-        trace.accept(kind + " for " + span + " ms, " + w.controllers.get(leads).name + " leads");
         switch (kind) {
             case LEADER_CUT -> {
                 List<String> others = new ArrayList<>(List.of("10.2.0.1"));
