--- a/src/test/java/io/quincelead/scheduler/ClusterFixture.java
+++ b/src/test/java/io/quincelead/scheduler/ClusterFixture.java
@@ -73,7 +73,7 @@
                     new Settings.StoreLimits(600, 250, 8, 12),
                     new Settings.CloudLimits(2, 4),
                     new Settings.ProcessLimits(1, 256, 100));
-    private final StoreClient store =
+    final StoreClient store =
             new StoreClient(loop, (address, method, path, codec, body, ms, reply) -> {}, settings);
     private final WatchCache watchCache = new WatchCache(loop, store, 100);
     private final ClusterMembership shards = new ClusterMembership(settings, watchCache);
--- a/src/test/java/io/quincelead/simulation/RandomizedScenarioTest.java
+++ b/src/test/java/io/quincelead/simulation/RandomizedScenarioTest.java
@@ -63,6 +63,18 @@
         assertEquals(List.of(), cluster.serviceLevels().starved());
     }
 
+    /**
+     * A cancelled gang's task started after its user had been told: see UnrecordedTerminationsTest
+     * for the story.
+     */
+    @Test
+    void cancelledGangStartsNothingOnAnotherControllersMachine() {
+        SimulatedCluster cluster = new SimulatedCluster(1019);
+        RandomScenarios.playQuickRestarts(cluster);
+        assertAllJobsFinished(cluster, 40);
+        assertEquals(List.of(), cluster.serviceLevels().starved());
+    }
+
     /**
      * A cluster that is up at the start, in three zones: services spread over them, gangs in one
      * zone on the few machines with GPUs, low work in what is left; then zones are cut and
