Zones: a returning zone gets a machine to settle with; spread services see all shards

Causes: nothing rented the machine that a returning zone needs to settle; the leader chose a service's zone among its own machines only, so that moved replicas came back where they had been (23 times in 300 s).

--- a/src/main/java/io/quincelead/scheduler/Placer.java
+++ b/src/main/java/io/quincelead/scheduler/Placer.java
@@ -70,8 +70,11 @@
         }
         Attempt attempt = new Attempt(job, ranked.tier(), anywhere);
         Map<String, Integer> tasksByHost = new LinkedHashMap<>();
-        int unplaced = assign(attempt, tasks, true, tasksByHost);
-        if (unplaced > 0 && plan.leading) {
+        // The leader prefers its own machines, but not to a service's zone: the zone with the
+        // fewest replicas may have room on other shards alone.
+        boolean ownShardOnly = !plan.leading || !isSpreadEvenly(job);
+        int unplaced = assign(attempt, tasks, ownShardOnly, tasksByHost);
+        if (unplaced > 0 && plan.leading && ownShardOnly) {
             if (spec.isGang()) {
                 tasksByHost.clear();
             }
@@ -138,9 +141,7 @@
             (attempt.anywhere ? unsatisfiableAnywhere : unsatisfiable).add(spec);
         }
         int maxPerZone = policy.maxTasksPerZone(job);
-        if (spec.isService()
-                && !spec.zoneAffinity()
-                && (spreadsServices || maxPerZone < spec.taskCount() && !spec.zoneSpread())) {
+        if (isSpreadEvenly(job)) {
             return assignEvenly(job, tasks, candidatesByZone, tasksByHost, maxPerZone);
         }
         if (!spec.zoneAffinity() && !spec.zoneSpread()) {
@@ -151,6 +152,15 @@
         return assignZoneByZone(job, tasks, candidatesByZone, tasksByHost, maxPerZone);
     }
 
+    /** Whether the job is a service whose replicas go where the fewest are. */
+    private boolean isSpreadEvenly(Job job) {
+        JobSpec spec = job.spec;
+        return spec.isService()
+                && !spec.zoneAffinity()
+                && (spreadsServices
+                        || policy.maxTasksPerZone(job) < spec.taskCount() && !spec.zoneSpread());
+    }
+
     /** One TEBAS pass over these machines; returns how many tasks found none. */
     private int assignTo(
             List<Tebas.CandidateMachine> candidates, int tasks, Map<String, Integer> tasksByHost) {
--- a/src/main/java/io/quincelead/zone/ServiceRebalancer.java
+++ b/src/main/java/io/quincelead/zone/ServiceRebalancer.java
@@ -14,6 +14,7 @@
 import io.quincelead.eventloop.EventLoop;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -45,10 +46,15 @@
      * while any zone is unavailable or returning.
      */
     List<ReplicaMove> findMoves() {
+        return view.zones().all().stream().anyMatch(this::isUnsettled)
+                ? List.of()
+                : findMovesTo(EnumSet.of(ZoneTable.State.SETTLED));
+    }
+
+    /** Moves to zones in these states, whatever the states of others. */
+    private List<ReplicaMove> findMovesTo(Set<ZoneTable.State> targetStates) {
         List<ReplicaMove> moves = new ArrayList<>();
-        if (settings.movesPerMinute() <= 0
-                || view.cluster().policy().isAnyWindowOpen()
-                || view.zones().all().stream().anyMatch(this::isUnsettled)) {
+        if (settings.movesPerMinute() <= 0 || view.cluster().policy().isAnyWindowOpen()) {
             return moves;
         }
         Set<String> allZones = new TreeSet<>();
@@ -56,11 +62,11 @@
                 .machineTypes()
                 .all()
                 .forEach(machineType -> allZones.addAll(machineType.zones()));
-        Set<String> settledZones = new TreeSet<>(allZones);
-        settledZones.removeIf(zone -> view.zones().get(zone).state() != ZoneTable.State.SETTLED);
+        Set<String> targetZones = new TreeSet<>(allZones);
+        targetZones.removeIf(zone -> !targetStates.contains(view.zones().get(zone).state()));
         for (Job job : view.cluster().jobs().all()) {
             if (isMovable(job)) {
-                ReplicaMove move = findMove(job, allZones, settledZones);
+                ReplicaMove move = findMove(job, allZones, targetZones);
                 if (move != null) {
                     moves.add(move);
                 }
@@ -85,7 +91,7 @@
     }
 
     /** A move of one of the job's replicas; null when none is due. */
-    private ReplicaMove findMove(Job job, Set<String> allZones, Set<String> settledZones) {
+    private ReplicaMove findMove(Job job, Set<String> allZones, Set<String> returnedZones) {
         Map<String, Integer> replicaCountByZone = new TreeMap<>();
         Map<String, Placement> firstReplicaByZone = new HashMap<>();
         for (TaskStatePage page : job.pages) {
@@ -105,7 +111,7 @@
                                         .thenComparing(Map.Entry.comparingByKey()))
                         .map(Map.Entry::getKey)
                         .orElse(null);
-        Set<String> targetZones = replicaCountByZone.size() == 1 ? allZones : settledZones;
+        Set<String> targetZones = replicaCountByZone.size() == 1 ? allZones : returnedZones;
         String toZone =
                 targetZones.stream()
                         .min(
@@ -143,7 +149,8 @@
 
     /**
      * The replicas that would move to a zone if it had free capacity, by zone, as many as would
-     * move within a minute: machines are rented for them.
+     * move within a minute: machines are rented for them. For a zone that is returning it is one:
+     * only a machine there can show that the zone holds, and nothing else might ever rent one.
      */
     Map<String, List<JobSpec>> rebalanceDemand() {
         Map<String, List<JobSpec>> specsByZone = new TreeMap<>();
@@ -154,9 +161,28 @@
             }
             specsByZone.computeIfAbsent(move.toZone, zone -> new ArrayList<>()).add(move.job.spec);
         }
+        addProbesOfReturningZones(specsByZone);
         return specsByZone;
     }
 
+    private void addProbesOfReturningZones(Map<String, List<JobSpec>> specsByZone) {
+        if (view.zones().all().stream()
+                .noneMatch(zone -> zone.state() == ZoneTable.State.RETURNING)) {
+            return;
+        }
+        List<ReplicaMove> moves =
+                findMovesTo(EnumSet.of(ZoneTable.State.SETTLED, ZoneTable.State.RETURNING));
+        for (ZoneTable.Zone zone : view.zones().all()) {
+            if (zone.state() == ZoneTable.State.RETURNING) {
+                moves.stream()
+                        .filter(move -> move.toZone.equals(zone.name()))
+                        .findFirst()
+                        .or(() -> moves.stream().findFirst())
+                        .ifPresent(move -> specsByZone.put(zone.name(), List.of(move.job.spec)));
+            }
+        }
+    }
+
     /**
      * Whether a machine in the zone is reachable, is of the shard where the job's controller places
      * it, and has free capacity for one task of the job. The leader places its jobs on all shards.
