--- a/src/main/java/io/quincelead/policy/CalendarReconciler.java
+++ b/src/main/java/io/quincelead/policy/CalendarReconciler.java
@@ -79,6 +79,11 @@
                 .forEach(knownLedgerKeys::add);
     }
 
+    /** How many keys of the ledger are known to exist. */
+    int knownLedgerKeyCount() {
+        return knownLedgerKeys.size();
+    }
+
     // ---- planning
 
     private Transaction planNextOccurrence() {
