--- a/src/main/java/io/quincelead/cluster/ClusterMembership.java
+++ b/src/main/java/io/quincelead/cluster/ClusterMembership.java
@@ -159,9 +159,9 @@
         return shards.version();
     }
 
-    /** This controller's shard; null: it has none. */
+    /** This controller's shard; null: it has none, or none that can be read. */
     public Shard localShard() {
-        return shards.get(localMemberId);
+        return shards.readable(localMemberId);
     }
 
     /** The controller's shard; null: it has none. */
--- a/src/main/java/io/quincelead/cluster/JobTable.java
+++ b/src/main/java/io/quincelead/cluster/JobTable.java
@@ -133,7 +133,8 @@
     }
 
     private void applyJob(String key, JsonNode value) {
-        Job job = jobs.get(key.substring(StoreKeys.JOB_PREFIX.length()));
+        String jobId = key.substring(StoreKeys.JOB_PREFIX.length());
+        Job job = jobs.get(jobId);
         if (job == null) {
             try {
                 job = new Job(JobCodec.decodeSpec(value));
@@ -141,8 +142,12 @@
                 LOG.error("the record {} can't be read; the job is left alone", key, e);
                 return;
             }
+            if (!job.spec.jobId().equals(jobId)) {
+                LOG.error("the record {} is of {}; it is left alone", key, job.spec.jobId());
+                return;
+            }
             job.applyRecord(value);
-            add(key.substring(StoreKeys.JOB_PREFIX.length()), job);
+            add(jobId, job);
         }
         boolean wasCancelled = job.isCancelled();
         job.applyRecord(value);
--- a/src/main/java/io/quincelead/cluster/MachineRecordCodec.java
+++ b/src/main/java/io/quincelead/cluster/MachineRecordCodec.java
@@ -24,10 +24,7 @@
 final class MachineRecordCodec {
     private MachineRecordCodec() {}
 
-    /**
-     * A decoded record. {@code cordonedHosts} and {@code largeImagesByHost} have what the record
-     * names, also of a machine that it doesn't list.
-     */
+    /** A decoded record; it says nothing of machines that it doesn't list. */
     record MachineGroup(
             List<MachineTable.Machine> machines,
             Set<String> cordonedHosts,
@@ -53,7 +50,11 @@
                             releasing.contains(host),
                             cordoned.contains(host)));
         }
-        return new MachineGroup(machines, cordoned, decodeLargeImages(node.path("w")));
+        Set<String> hosts = decodeTexts(node.path("h"));
+        cordoned.retainAll(hosts);
+        Map<String, Map<String, Double>> largeImages = decodeLargeImages(node.path("w"));
+        largeImages.keySet().retainAll(hosts);
+        return new MachineGroup(machines, cordoned, largeImages);
     }
 
     private static Map<String, Map<String, Double>> decodeLargeImages(JsonNode node) {
--- a/src/main/java/io/quincelead/cluster/MembershipCodec.java
+++ b/src/main/java/io/quincelead/cluster/MembershipCodec.java
@@ -45,15 +45,15 @@
         return node.path("n").asLong();
     }
 
-    /** Throws a {@link NumberFormatException} if a fencing token is not a number. */
-    static Shard decodeShard(String ownerId, JsonNode node) {
+    static Shard decodeShard(String ownerId, JsonNode node) throws MalformedRecordException {
         String prefix = node.path("p").asText();
         Map<String, Long> fencingTokensByHost = new LinkedHashMap<>();
         Iterator<Map.Entry<String, JsonNode>> hostsByToken = node.path("ms").fields();
         while (hostsByToken.hasNext()) {
             Map.Entry<String, JsonNode> entry = hostsByToken.next();
+            long fencingToken = parseToken(entry.getKey());
             for (JsonNode host : entry.getValue()) {
-                fencingTokensByHost.put(prefix + host.asText(), Long.parseLong(entry.getKey()));
+                fencingTokensByHost.put(prefix + host.asText(), fencingToken);
             }
         }
         Map<String, QuotaShare> quotaShares = new LinkedHashMap<>();
@@ -68,6 +68,14 @@
         return new Shard(ownerId, fencingTokensByHost, quotaShares);
     }
 
+    private static long parseToken(String text) throws MalformedRecordException {
+        try {
+            return Long.parseLong(text);
+        } catch (NumberFormatException e) {
+            throw new MalformedRecordException("a fencing token that is not a number", e);
+        }
+    }
+
     static ObjectNode encode(Shard shard) {
         ObjectNode node = WireFormat.newMap();
         Map<String, Long> fencingTokensByHost = shard.fencingTokensByHost();
--- a/src/main/java/io/quincelead/policy/CalendarReconciler.java
+++ b/src/main/java/io/quincelead/policy/CalendarReconciler.java
@@ -93,20 +93,34 @@
         if (!due && plannedVersion == records.version()) {
             return null;
         }
+        Set<String> plannedLedgerKeys = new HashSet<>();
         for (CalendarEntry entry : records.entries().values()) {
-            Transaction txn = planNextOccurrence(entry);
+            Transaction txn = planNextOccurrence(entry, plannedLedgerKeys);
             if (txn != null) {
                 return txn;
             }
         }
+        forgetUnneeded(plannedLedgerKeys);
         // All are planned: a thousand entries need not be gone through each time.
         plannedAtMillis = loop.nowMillis();
         plannedVersion = records.version();
         return null;
     }
 
-    /** Puts the entry's next occurrence on record, counted from the last that is closed. */
-    private Transaction planNextOccurrence(CalendarEntry entry) {
+    /** Keeps what later plans can ask for: both collections are bounded by the records. */
+    private void forgetUnneeded(Set<String> plannedLedgerKeys) {
+        knownLedgerKeys.retainAll(plannedLedgerKeys);
+        Set<String> liveKeys = new HashSet<>();
+        records.occurrences().values().forEach(live -> liveKeys.add(live.storeKey()));
+        countsWrittenAtMillis.keySet().retainAll(liveKeys);
+    }
+
+    /**
+     * Puts the entry's next occurrence on record, counted from the last that is closed.
+     *
+     * @param plannedLedgerKeys takes the keys in the ledger of all publications that are looked at
+     */
+    private Transaction planNextOccurrence(CalendarEntry entry, Set<String> plannedLedgerKeys) {
         long nowMillis = loop.wallClockMillis();
         long closedThroughMillis = records.historyOf(entry.name()).closedThroughMillis();
         long fromMillis =
@@ -118,6 +132,7 @@
         for (CalendarEntry.Publication publication :
                 entry.publicationsBetween(fromMillis, toMillis)) {
             ScheduledOccurrence occurrence = ScheduledOccurrence.planned(entry, publication);
+            plannedLedgerKeys.add(occurrence.ledgerKey());
             if (!records.occurrences().containsKey(occurrence.key())
                     && !knownLedgerKeys.contains(occurrence.ledgerKey())) {
                 occurrence.addLeaderToken(leadership.fencingToken());
--- a/src/main/java/io/quincelead/policy/OccurrenceCodec.java
+++ b/src/main/java/io/quincelead/policy/OccurrenceCodec.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quincelead.transport.WireFormat;
+import java.time.LocalDate;
+import java.time.format.DateTimeParseException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -19,6 +21,11 @@
      */
     static ScheduledOccurrence decode(String entryName, String date, JsonNode node)
             throws InvalidRecordException {
+        try {
+            LocalDate.parse(date);
+        } catch (DateTimeParseException e) {
+            throw new InvalidRecordException("key", "must end with a date", e);
+        }
         // Any case is accepted.
         ScheduledOccurrence.State state;
         try {
--- a/src/main/java/io/quincelead/zone/ServiceRebalancer.java
+++ b/src/main/java/io/quincelead/zone/ServiceRebalancer.java
@@ -149,8 +149,9 @@
 
     /**
      * The replicas that would move to a zone if it had free capacity, by zone, as many as would
-     * move within a minute: machines are rented for them. For a zone that is returning it is one:
-     * only a machine there can show that the zone holds, and nothing else might ever rent one.
+     * move within a minute: machines are rented for them. For a returning zone without any machine
+     * it is one: only a machine there can show that the zone holds, and nothing else might ever
+     * rent it.
      */
     Map<String, List<JobSpec>> rebalanceDemand() {
         Map<String, List<JobSpec>> specsByZone = new TreeMap<>();
@@ -166,14 +167,14 @@
     }
 
     private void addProbesOfReturningZones(Map<String, List<JobSpec>> specsByZone) {
-        if (view.zones().all().stream()
-                .noneMatch(zone -> zone.state() == ZoneTable.State.RETURNING)) {
+        if (view.zones().all().stream().noneMatch(zone -> zone.state() == ZoneTable.State.RETURNING)
+                || isAnyReplicaPending()) {
             return;
         }
         List<ReplicaMove> moves =
                 findMovesTo(EnumSet.of(ZoneTable.State.SETTLED, ZoneTable.State.RETURNING));
         for (ZoneTable.Zone zone : view.zones().all()) {
-            if (zone.state() == ZoneTable.State.RETURNING) {
+            if (zone.state() == ZoneTable.State.RETURNING && !hasMachine(zone.name())) {
                 moves.stream()
                         .filter(move -> move.toZone.equals(zone.name()))
                         .findFirst()
@@ -183,6 +184,21 @@
         }
     }
 
+    private boolean hasMachine(String zone) {
+        return view.cluster().machines().all().stream()
+                .anyMatch(machine -> machine.zone().equals(zone) && !machine.releasing());
+    }
+
+    /** What was lost comes back first: it takes the machines that are rented meanwhile. */
+    private boolean isAnyReplicaPending() {
+        return view.cluster().jobs().all().stream()
+                .anyMatch(
+                        job ->
+                                job.spec.isService()
+                                        && !job.isCancelled()
+                                        && job.pendingTaskCount() > 0);
+    }
+
     /**
      * Whether a machine in the zone is reachable, is of the shard where the job's controller places
      * it, and has free capacity for one task of the job. The leader places its jobs on all shards.
--- a/src/main/java/io/quincelead/zone/ZoneRecoveryController.java
+++ b/src/main/java/io/quincelead/zone/ZoneRecoveryController.java
@@ -76,6 +76,7 @@
         if (isCommitInFlight
                 || !leader.isLeading()
                 || !view.watchCache().isSynced()
+                || !leader.areWritesSettled()
                 || !store.canAffordUrgentWrite()) {
             return;
         }
@@ -97,6 +98,7 @@
                 transaction,
                 outcome -> {
                     isCommitInFlight = false;
+                    leader.onOutcome(transaction, outcome);
                     if (outcome.result() == Transaction.Result.COMMITTED) {
                         view.watchCache().applyCommitted(transaction, outcome.storeRevision());
                     }
