--- a/src/main/java/io/quincelead/store/MembershipLease.java
+++ b/src/main/java/io/quincelead/store/MembershipLease.java
@@ -34,6 +34,8 @@
     private Phase phase = Phase.NOT_MEMBER;
     private long leaseId;
     private long validUntilMillis;
+    private boolean renewalInFlight;
+    private boolean renewalRetryScheduled;
 
     /** Store revision of the announcement of the current lease. */
     private long announcedRevision;
@@ -216,27 +218,53 @@
         }
     }
 
+    /** Renews the lease unless a renewal is still without its response. */
     private void renew() {
-        if (phase == Phase.NOT_MEMBER) {
+        if (phase == Phase.NOT_MEMBER || renewalInFlight) {
             return;
         }
+        renewalInFlight = true;
         long sentAtMillis = loop.nowMillis();
         long renewedLeaseId = leaseId;
         store.renewLease(
                 renewedLeaseId,
                 (status, body) -> {
-                    if (renewedLeaseId != leaseId) {
-                        return;
-                    }
-                    if (status == 200) {
-                        validUntilMillis = Math.max(validUntilMillis, expiryMillis(sentAtMillis));
-                    } else if (status == 404 && phase != Phase.NOT_MEMBER) {
-                        LOG.info("the lease {} has expired", renewedLeaseId);
-                        join();
+                    renewalInFlight = false;
+                    if (renewedLeaseId == leaseId) {
+                        onRenewalResponse(status, sentAtMillis);
                     }
                 });
     }
 
+    private void onRenewalResponse(int status, long sentAtMillis) {
+        if (status == 200) {
+            boolean hadExpired = !isValid();
+            validUntilMillis = Math.max(validUntilMillis, expiryMillis(sentAtMillis));
+            if (hadExpired && isValid()) {
+                LOG.info("the lease {} is valid again", leaseId);
+            }
+        } else if (status != 404) {
+            retryRenewal();
+        } else if (phase != Phase.NOT_MEMBER) {
+            LOG.info("the lease {} has expired", leaseId);
+            join();
+        }
+    }
+
+    /** Nothing can be accepted or decided without a valid lease, so a failed renewal is urgent. */
+    private void retryRenewal() {
+        if (renewalRetryScheduled) {
+            return;
+        }
+        renewalRetryScheduled = true;
+        loop.runAfter(
+                StoreConstants.RETRY_DELAY_MILLIS,
+                () -> {
+                    renewalRetryScheduled = false;
+                    renew();
+                });
+    }
+
     private long expiryMillis(long sentAtMillis) {
         return sentAtMillis
                 + (long) (leaseMillis * (1 - LeaseConstants.CLOCK_DRIFT_FRACTION))
--- a/src/test/java/io/quincelead/simulation/SingleFaultTest.java
+++ b/src/test/java/io/quincelead/simulation/SingleFaultTest.java
@@ -72,6 +72,24 @@
         assertTrue(cluster.wasToldFinalStatus("wk-000001", "cancelled"));
     }
 
+    /** Submissions were once refused for seconds after the store was back. */
+    @ParameterizedTest
+    @ValueSource(longs = {61, 62, 63, 64, 65, 66})
+    void submissionsAreAcceptedSoonAfterAStoreOutage(long seed) {
+        SimulatedCluster cluster = new SimulatedCluster(seed);
+        cluster.workerLeaseMillis = 24_000;
+        cluster.start();
+        cluster.after(20_000, () -> cluster.faults.storeOutage(20_000 + 100 * (seed % 6)));
+        for (int controller = 0; controller < 3; controller++) {
+            JobSpec job = JobFixtures.array(1 + controller, "red", JobSpec.Priority.HIGH, 1, 1, 5);
+            cluster.submitAfter(40_900 + 100 * (seed % 6), job, controller);
+        }
+        cluster.runUntil(41_600 + 100 * (seed % 6));
+        assertEquals(3, cluster.acceptedJobCount());
+        cluster.runUntil(120_000);
+        assertAllJobsFinished(cluster, 3);
+    }
+
     @Test
     void tasksOfDeadMachineRestartElsewhereAfterItsRelease() {
         SimulatedCluster cluster = new SimulatedCluster(3);
