--- a/src/main/java/io/quincelead/config/constants/SchedulerConstants.java
+++ b/src/main/java/io/quincelead/config/constants/SchedulerConstants.java
@@ -100,6 +100,15 @@
      */
     public static final double OVERDUE_RAMP_START_FRACTION = 0.375;
 
+    /** Attempts after which a gang's team no longer reserves quota for it: it may never succeed. */
+    public static final int MAX_ATTEMPTS_WITH_RESERVED_QUOTA = 3;
+
+    /** How long a team's quota is reserved for one gang at a stretch. */
+    public static final double RESERVED_QUOTA_TURN_SECONDS = 120;
+
+    /** How long it is left to others before the same gang's next turn. */
+    public static final double RESERVED_QUOTA_PAUSE_SECONDS = 30;
+
     /** Fraction of that time by which the stated fraction of its tasks comes first. */
     public static final double OVERDUE_RAMP_END_FRACTION = 0.8;
 
--- a/src/main/java/io/quincelead/leadership/Leader.java
+++ b/src/main/java/io/quincelead/leadership/Leader.java
@@ -75,7 +75,7 @@
         quotaDistributor =
                 new QuotaDistributor(
                         eventLoop,
-                        settings.teams().values(),
+                        settings.teams(),
                         watchCache,
                         membership,
                         records.jobs(),
--- a/src/main/java/io/quincelead/leadership/QuotaDistributor.java
+++ b/src/main/java/io/quincelead/leadership/QuotaDistributor.java
@@ -11,8 +11,12 @@
 import io.quincelead.policy.Policy;
 import io.quincelead.store.WatchCache;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Splits each team's limit into quota shares, one a live controller. A controller can't use more
@@ -21,6 +25,8 @@
  * write takes away can be given out only by a later one, when the watch cache has caught up.
  */
 final class QuotaDistributor {
+    private static final Logger LOG = LoggerFactory.getLogger(QuotaDistributor.class);
+
     /** CPUs or GPUs; a smaller change is rounding. */
     private static final double EPSILON = 1e-6;
 
@@ -30,20 +36,27 @@
     private final ClusterMembership membership;
     private final JobTable jobs;
     private final Policy policy;
+    private final QuotaReservations reservations;
+
+    /** By team, the gang its quota is reserved for and since when on the loop's clock. */
+    private final Map<String, ReservedGang> reservedGangs = new HashMap<>();
+
+    private record ReservedGang(Job gang, long sinceMillis) {}
 
     QuotaDistributor(
             EventLoop eventLoop,
-            Collection<Settings.Team> teams,
+            Map<String, Settings.Team> teams,
             WatchCache watchCache,
             ClusterMembership membership,
             JobTable jobs,
             Policy policy) {
         this.eventLoop = eventLoop;
-        this.teams = teams;
+        this.teams = teams.values();
         this.watchCache = watchCache;
         this.membership = membership;
         this.jobs = jobs;
         this.policy = policy;
+        this.reservations = new QuotaReservations(teams, jobs, policy);
     }
 
     /** What jobs use and still want of one resource, in CPUs or GPUs. */
@@ -69,9 +82,11 @@
     }
 
     /**
-     * A team's demand by live member, in the update's order, and that of lost controllers' jobs.
+     * A team's demand by live member, in the update's order, that of lost controllers' jobs, and
+     * the gang that quota is reserved for; its demand isn't in the others.
      */
-    private record TeamDemand(Map<String, JobDemand> byMember, JobDemand orphaned) {}
+    private record TeamDemand(
+            Map<String, JobDemand> byMember, JobDemand orphaned, Optional<Job> reservedGang) {}
 
     private enum Resource {
         CPUS,
@@ -88,6 +103,10 @@
         double limitOf(Settings.Team team) {
             return this == CPUS ? team.maxCpus() : team.maxGpus();
         }
+
+        double needOf(Job gang) {
+            return gang.spec.taskCount() * (this == CPUS ? gang.spec.cpus() : gang.spec.gpus());
+        }
     }
 
     /** Sets the quota shares that are to change; none while some shard's use isn't known. */
@@ -118,7 +137,9 @@
     }
 
     private TeamDemand demandOf(Settings.Team team, ShardUpdate update) {
-        TeamDemand demand = new TeamDemand(new LinkedHashMap<>(), new JobDemand());
+        TeamDemand demand =
+                new TeamDemand(
+                        new LinkedHashMap<>(), new JobDemand(), reservedGang(team.name(), update));
         update.memberIds().forEach(memberId -> demand.byMember.put(memberId, new JobDemand()));
         for (Job job : jobs.all()) {
             if (!job.spec.team().equals(team.name())) {
@@ -133,13 +154,49 @@
                 continue;
             }
             memberDemand.addUsed(job.placedTaskCount(), job.spec);
-            if (!job.isCancelled()) {
+            if (!job.isCancelled() && demand.reservedGang.orElse(null) != job) {
                 addWanted(memberDemand, job);
             }
         }
         return demand;
     }
 
+    /** The gang that the team's quota is reserved for; none while its controller has no shard. */
+    private Optional<Job> reservedGang(String team, ShardUpdate update) {
+        Optional<Job> gang =
+                reservations
+                        .reservedGang(team, eventLoop.wallClockMillis())
+                        .filter(job -> membership.shardOf(job.controllerId()) != null)
+                        .filter(job -> update.memberIds().contains(job.controllerId()));
+        logChange(team, gang.orElse(null));
+        return gang;
+    }
+
+    private void logChange(String team, Job gang) {
+        ReservedGang previous = reservedGangs.get(team);
+        if (previous != null && previous.gang == gang || previous == null && gang == null) {
+            return;
+        }
+        if (previous != null) {
+            LOG.info(
+                    "quota of {} was reserved for {} for {} ms",
+                    team,
+                    previous.gang.spec.jobId(),
+                    eventLoop.nowMillis() - previous.sinceMillis);
+        }
+        if (gang == null) {
+            reservedGangs.remove(team);
+        } else {
+            LOG.info(
+                    "quota of {} is reserved for {}: {} CPUs, {} GPUs",
+                    team,
+                    gang.spec.jobId(),
+                    Resource.CPUS.needOf(gang),
+                    Resource.GPUS.needOf(gang));
+            reservedGangs.put(team, new ReservedGang(gang, eventLoop.nowMillis()));
+        }
+    }
+
     /**
      * What a job needs to be on schedule counts as work of normal priority at least: of a team at
      * its limit, work of low priority would else get nothing.
@@ -163,6 +220,7 @@
         double[] usedByMember = new double[memberCount];
         double[][] wantedByPriority = new double[memberCount][];
         boolean hasNewMember = false;
+        QuotaShares.Reservation reservation = QuotaShares.Reservation.NONE;
         int index = 0;
         for (Map.Entry<String, JobDemand> entry : demand.byMember.entrySet()) {
             Shard shard = membership.shardOf(entry.getKey());
@@ -172,6 +230,12 @@
                     resource.of(shard == null ? QuotaShare.NONE : shard.quotaShare(team.name()));
             usedByMember[index] = memberDemand.used;
             wantedByPriority[index] = memberDemand.wantedByPriority;
+            Job gang = demand.reservedGang.orElse(null);
+            if (gang != null && gang.controllerId().equals(entry.getKey())) {
+                reservation =
+                        new QuotaShares.Reservation(
+                                index, resource.needOf(gang), QuotaReservations.RESERVED_PRIORITY);
+            }
             index++;
         }
         return QuotaShares.split(
@@ -180,6 +244,7 @@
                 currentShares,
                 usedByMember,
                 wantedByPriority,
+                reservation,
                 hasNewMember);
     }
 }
--- a/src/main/java/io/quincelead/scheduler/QueuePass.java
+++ b/src/main/java/io/quincelead/scheduler/QueuePass.java
@@ -7,11 +7,13 @@
 import io.quincelead.config.constants.PolicyConstants;
 import io.quincelead.config.constants.SchedulerConstants;
 import io.quincelead.eventloop.EventLoop;
+import io.quincelead.leadership.QuotaReservations;
 import io.quincelead.store.StoreClient;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * One pass over the queue of waiting jobs: finds the jobs that wait and the free capacity, ranks
@@ -25,6 +27,7 @@
     private final StoreClient store;
     private final ClusterView cluster;
     private final QueueOrder queueOrder;
+    private final QuotaReservations quotaReservations;
     private final CapacityReader capacityReader;
     private final LeaderPrecedence leaderPrecedence;
     private final EscalationPolicy escalationPolicy;
@@ -49,6 +52,8 @@
         this.store = store;
         this.cluster = cluster;
         this.queueOrder = new QueueOrder(settings, cluster.policy());
+        this.quotaReservations =
+                new QuotaReservations(settings.teams(), cluster.jobs(), cluster.policy());
         this.capacityReader = new CapacityReader(cluster, machineStatus);
         this.leaderPrecedence = new LeaderPrecedence(loop, cluster);
         this.escalationPolicy = new EscalationPolicy(loop, capacityReader);
@@ -201,6 +206,7 @@
                         loop, settings, cluster.jobs(), plan, storeUnderPressure, cluster.policy());
         QuotaSaving quotaSaving =
                 new QuotaSaving(plan, cluster.jobs(), settings.memberId(), terminations);
+        reserveQuota(queue, quotaSaving, wallMillis);
         EscalationPolicy.Decisions escalation = escalationPolicy.decisionsFor(plan);
         boolean gpusInDemand = plan.pools.values().stream().anyMatch(pool -> pool.gpusInDemand);
         QueueWalk.Conditions conditions =
@@ -212,6 +218,22 @@
         unservedJobs.forgetFinishedJobs();
     }
 
+    /** Reserves the quota of each team that one of our gangs comes first in. */
+    private void reserveQuota(
+            List<QueueOrder.RankedJob> queue, QuotaSaving quotaSaving, long wallMillis) {
+        Map<String, Optional<Job>> gangByTeam = new HashMap<>();
+        for (QueueOrder.RankedJob ranked : queue) {
+            Job job = ranked.job();
+            if (quotaReservations.waitsTooLong(job, wallMillis)) {
+                Optional<Job> first =
+                        gangByTeam.computeIfAbsent(
+                                job.spec.team(),
+                                team -> quotaReservations.reservedGang(team, wallMillis));
+                first.filter(gang -> gang == job).ifPresent(gang -> quotaSaving.reserveFor(ranked));
+            }
+        }
+    }
+
     /**
      * Whether best-effort work is placed in this pass: while writes are scarce, only now and then;
      * capacity for it gathers meanwhile.
--- a/src/main/java/io/quincelead/scheduler/QueueWalk.java
+++ b/src/main/java/io/quincelead/scheduler/QueueWalk.java
@@ -111,6 +111,7 @@
     private void place(QueueOrder.RankedJob ranked) {
         Job job = ranked.job();
         int wanted = plan.unplacedTasks(job);
+        quotaSaving.withholdReserved(ranked);
         quotaSaving.freeQuotaShare(job.spec, wanted);
         boolean alreadyInPlan = ranked.starving() && plan.containsRecordOf(job);
         int unplaced = placer.place(ranked, false);
--- a/src/main/java/io/quincelead/scheduler/QuotaSaving.java
+++ b/src/main/java/io/quincelead/scheduler/QuotaSaving.java
@@ -18,6 +18,12 @@
     private final String memberId;
     private final TerminationRecorder terminations;
 
+    /** By team, our gang that the team's quota is reserved for. */
+    private final Map<String, QueueOrder.RankedJob> reservedGangs = new HashMap<>();
+
+    /** Teams whose quota share counts as used by what is reserved, for the present job. */
+    private final Set<String> teamsWithheld = new HashSet<>();
+
     /**
      * Teams whose terminations are all on record or in the plan, and whose quota share is short all
      * the same.
@@ -35,6 +41,36 @@
         this.terminations = terminations;
     }
 
+    /**
+     * The team's quota is reserved for this gang of ours; its first position in the queue counts.
+     */
+    void reserveFor(QueueOrder.RankedJob gang) {
+        reservedGangs.putIfAbsent(gang.job().spec.team(), gang);
+    }
+
+    /**
+     * Withholds the quota share that is reserved for a gang while another job of its team is
+     * placed, and releases it for the gang itself and for what is more urgent. To be called before
+     * each job.
+     */
+    void withholdReserved(QueueOrder.RankedJob ranked) {
+        String team = ranked.job().spec.team();
+        QueueOrder.RankedJob gang = reservedGangs.get(team);
+        if (gang == null) {
+            return;
+        }
+        boolean withhold =
+                gang.job() != ranked.job()
+                        && ranked.tier() >= gang.tier()
+                        && plan.unplacedTasks(gang.job()) > 0;
+        JobSpec spec = gang.job().spec;
+        if (withhold && teamsWithheld.add(team)) {
+            TeamUsage.add(plan.ownUsage, spec, spec.taskCount());
+        } else if (!withhold && teamsWithheld.remove(team)) {
+            TeamUsage.add(plan.ownUsage, spec, -spec.taskCount());
+        }
+    }
+
     /** Whether the team's quota share is saved for a gang that comes before this job. */
     boolean isSavedForOthers(QueueOrder.RankedJob ranked) {
         return ranked.tier()
--- /dev/null
+++ b/src/test/java/io/quincelead/leadership/QuotaReservationsTest.java
@@ -0,0 +1,191 @@
+package io.quincelead.leadership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quincelead.cluster.Job;
+import io.quincelead.cluster.JobSpec;
+import io.quincelead.cluster.JobTable;
+import io.quincelead.config.Settings;
+import io.quincelead.config.TestSettings;
+import io.quincelead.policy.Policy;
+import io.quincelead.simulation.JobFixtures;
+import io.quincelead.simulation.SimulatedClock;
+import io.quincelead.store.StoreClient;
+import io.quincelead.store.Transaction;
+import io.quincelead.store.WatchCache;
+import io.quincelead.transport.WireFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Which gang a team's quota is reserved for, by records alone. */
+class QuotaReservationsTest {
+    private static final long NOW_MILLIS = 1_000_000;
+    private static final long LONG_AGO_MILLIS = NOW_MILLIS - 100_000;
+    private static final double LIMIT_CPUS = 24;
+
+    /** The jobs' records as one controller has read them. */
+    private static final class Records {
+        private final SimulatedClock.SimulatedProcess loop = new SimulatedClock(1).newProcess();
+        private final WatchCache watchCache =
+                new WatchCache(
+                        loop,
+                        new StoreClient(
+                                loop,
+                                (address, method, path, codec, body, ms, reply) -> {},
+                                TestSettings.LONE_CONTROLLER),
+                        100);
+        private final JobTable jobs = new JobTable(loop, watchCache);
+        private final QuotaReservations reservations =
+                new QuotaReservations(
+                        Map.of("blue", new Settings.Team("blue", 8, LIMIT_CPUS, 0, 4)),
+                        jobs,
+                        new Policy(watchCache));
+        private long revision;
+
+        void put(JobSpec spec, long acceptedAtMillis) {
+            put(spec, acceptedAtMillis, 0, "");
+        }
+
+        /** Placements as the record writes them: task, host and attempt of each. */
+        void put(JobSpec spec, long acceptedAtMillis, long lastAttempt, String placements) {
+            ObjectNode job = record(spec, acceptedAtMillis);
+            ObjectNode tasks = WireFormat.newMap().put("t", lastAttempt).put("p", placements);
+            tasks.putArray("d");
+            job.set("k", tasks);
+            putRecord(spec, job);
+        }
+
+        void putCancelled(JobSpec spec, long acceptedAtMillis) {
+            putRecord(spec, record(spec, acceptedAtMillis).put("x", NOW_MILLIS));
+        }
+
+        private static ObjectNode record(JobSpec spec, long acceptedAtMillis) {
+            ObjectNode job = WireFormat.newMap().put("c", "worker-0").put("at", acceptedAtMillis);
+            job.set("s", spec.encode());
+            return job;
+        }
+
+        private void putRecord(JobSpec spec, ObjectNode job) {
+            watchCache.applyCommitted(
+                    new Transaction().put("a/j/" + spec.jobId(), job), ++revision);
+        }
+
+        Optional<String> reserved() {
+            return reserved("blue");
+        }
+
+        Optional<String> reserved(String team) {
+            return reservations.reservedGang(team, NOW_MILLIS).map(this::idOf);
+        }
+
+        private String idOf(Job job) {
+            return job.spec.jobId();
+        }
+    }
+
+    private final Records records = new Records();
+
+    private static JobSpec gang(int number, JobSpec.Priority priority, int tasks, double cpus) {
+        return JobFixtures.gang(number, "blue", priority, tasks).cpus(cpus).build();
+    }
+
+    @Test
+    void oldestGangThatWaitsLongComesFirst() {
+        records.put(gang(1, JobSpec.Priority.NORMAL, 4, 2), LONG_AGO_MILLIS);
+        records.put(gang(2, JobSpec.Priority.BEST_EFFORT, 4, 2), LONG_AGO_MILLIS - 1);
+        records.put(gang(3, JobSpec.Priority.NORMAL, 4, 2), NOW_MILLIS - 80_000);
+        assertEquals(Optional.of("wk-000002"), records.reserved());
+    }
+
+    @Test
+    void nothingIsReservedForGangsThatHaveNotWaitedLong() {
+        records.put(gang(1, JobSpec.Priority.NORMAL, 4, 2), NOW_MILLIS - 89_000);
+        assertEquals(Optional.empty(), records.reserved());
+    }
+
+    /** No machines are drained for them: their teams once idled beside quota without machines. */
+    @Test
+    void urgentGangsReserveNothing() {
+        records.put(gang(1, JobSpec.Priority.HIGH, 4, 2), LONG_AGO_MILLIS);
+        records.put(gang(2, JobSpec.Priority.PRODUCTION, 4, 2), LONG_AGO_MILLIS);
+        assertEquals(Optional.empty(), records.reserved());
+    }
+
+    /** A gang that finds no machines leaves the quota to others after a while. */
+    @Test
+    void turnsEndAndBeginAgain() {
+        long beginMillis = NOW_MILLIS - 90_000;
+        records.put(gang(1, JobSpec.Priority.NORMAL, 4, 2), beginMillis - 119_000);
+        assertEquals(Optional.of("wk-000001"), records.reserved());
+        records.put(gang(1, JobSpec.Priority.NORMAL, 4, 2), beginMillis - 121_000);
+        assertEquals(Optional.empty(), records.reserved());
+        records.put(gang(1, JobSpec.Priority.NORMAL, 4, 2), beginMillis - 149_000);
+        assertEquals(Optional.empty(), records.reserved());
+        records.put(gang(2, JobSpec.Priority.NORMAL, 4, 2), beginMillis - 10_000);
+        assertEquals(Optional.of("wk-000002"), records.reserved());
+        records.put(gang(1, JobSpec.Priority.NORMAL, 4, 2), beginMillis - 151_000);
+        assertEquals(Optional.of("wk-000001"), records.reserved());
+    }
+
+    @Test
+    void gangThatNeverFitsTheLimitReservesNothing() {
+        records.put(gang(1, JobSpec.Priority.NORMAL, 13, 2), LONG_AGO_MILLIS);
+        assertEquals(Optional.empty(), records.reserved());
+    }
+
+    @Test
+    void gangThatNeverFitsBesideServicesReservesNothing() {
+        JobSpec service = JobFixtures.service(1, "blue", JobSpec.Priority.NORMAL, 3).build();
+        records.put(service, LONG_AGO_MILLIS, 1, "0 i-000001 1;1 i-000001 1;2 i-000002 1;");
+        records.put(gang(2, JobSpec.Priority.NORMAL, 11, 2), LONG_AGO_MILLIS);
+        records.put(gang(3, JobSpec.Priority.NORMAL, 10, 2), LONG_AGO_MILLIS + 1);
+        assertEquals(Optional.of("wk-000003"), records.reserved());
+    }
+
+    @Test
+    void reservationEndsAtOnceWhenTheGangIsCancelledOrStarted() {
+        JobSpec first = gang(1, JobSpec.Priority.NORMAL, 2, 2);
+        JobSpec second = gang(2, JobSpec.Priority.NORMAL, 2, 2);
+        records.put(first, LONG_AGO_MILLIS);
+        records.put(second, LONG_AGO_MILLIS + 1);
+        assertEquals(Optional.of("wk-000001"), records.reserved());
+        records.putCancelled(first, LONG_AGO_MILLIS);
+        assertEquals(Optional.of("wk-000002"), records.reserved());
+        records.put(second, LONG_AGO_MILLIS + 1, 1, "0 i-000001 1;1 i-000002 1;");
+        assertEquals(Optional.empty(), records.reserved());
+    }
+
+    /** A job submitted with a mistake fails on every machine until its user cancels it. */
+    @Test
+    void gangThatWasStartedOftenInVainReservesNothing() {
+        JobSpec gang = gang(1, JobSpec.Priority.NORMAL, 2, 2);
+        records.put(gang, LONG_AGO_MILLIS, 2, "");
+        assertEquals(Optional.of("wk-000001"), records.reserved());
+        records.put(gang, LONG_AGO_MILLIS, 3, "");
+        assertEquals(Optional.empty(), records.reserved());
+    }
+
+    @Test
+    void teamThatTheSettingsDoNotNameReservesNothing() {
+        assertEquals(Optional.empty(), records.reserved("nobody"));
+    }
+
+    @Test
+    void controllersThatReadTheRecordsInAnotherOrderAgree() {
+        List<JobSpec> gangs =
+                List.of(
+                        gang(1, JobSpec.Priority.NORMAL, 4, 2),
+                        gang(2, JobSpec.Priority.NORMAL, 4, 2),
+                        gang(3, JobSpec.Priority.BEST_EFFORT, 4, 2));
+        Records other = new Records();
+        for (int i = 0; i < gangs.size(); i++) {
+            records.put(gangs.get(i), LONG_AGO_MILLIS);
+            other.put(gangs.get(gangs.size() - 1 - i), LONG_AGO_MILLIS);
+        }
+        assertEquals(Optional.of("wk-000001"), records.reserved());
+        assertEquals(records.reserved(), other.reserved());
+    }
+}
--- a/src/test/java/io/quincelead/scheduler/ClusterFixture.java
+++ b/src/test/java/io/quincelead/scheduler/ClusterFixture.java
@@ -203,6 +203,14 @@
         return spec;
     }
 
+    /** Records a job that has waited so long. */
+    JobSpec addWaitingJob(JobSpec spec, long ageMillis) {
+        putRecord(
+                "a/j/" + spec.jobId(),
+                jobRecord(spec).put("at", loop.wallClockMillis() - ageMillis));
+        return spec;
+    }
+
     /**
      * Records the job's tasks on machines that have room for them; those that find none are
      * recorded as completed.
--- a/src/test/java/io/quincelead/scheduler/QueuePassTest.java
+++ b/src/test/java/io/quincelead/scheduler/QueuePassTest.java
@@ -235,4 +235,56 @@
         cluster.queuePass.placeWaitingJobs(plan, null, cluster.recordsNoTerminations);
         specs.forEach(s -> assertEquals(1, ClusterFixture.tasksByMachine(plan, s).size()));
     }
+
+    private static int placedTasks(SchedulingPlan plan, JobSpec spec) {
+        return ClusterFixture.tasksByMachine(plan, spec).values().stream()
+                .mapToInt(tasks -> tasks)
+                .sum();
+    }
+
+    /** Arrays once took what was gathered for a gang, CPU by CPU, at the gang's own controller. */
+    @Test
+    void quotaReservedForGangIsLeftAloneByAllButMoreUrgentWork() {
+        ClusterFixture cluster = new ClusterFixture(20, new SplittableRandom(5));
+        JobSpec gang =
+                cluster.addWaitingJob(
+                        JobFixtures.gang(1, "red", JobSpec.Priority.NORMAL, 4).cpus(2).build(),
+                        100_000);
+        JobSpec older =
+                cluster.addWaitingJob(
+                        JobFixtures.array(2, "red", JobSpec.Priority.NORMAL, 5, 1, 10), 110_000);
+        JobSpec normal =
+                cluster.addWaitingJob(
+                        JobFixtures.array(3, "red", JobSpec.Priority.NORMAL, 5, 1, 10));
+        JobSpec urgent =
+                cluster.addWaitingJob(JobFixtures.array(4, "red", JobSpec.Priority.HIGH, 2, 1, 10));
+        cluster.quotaShareCpus = 8;
+        SchedulingPlan lacking = cluster.newPlan(100);
+        cluster.queuePass.placeWaitingJobs(lacking, null, cluster.recordsNoTerminations);
+        assertEquals(2, placedTasks(lacking, urgent));
+        assertEquals(0, placedTasks(lacking, gang));
+        assertEquals(0, placedTasks(lacking, older));
+        assertEquals(0, placedTasks(lacking, normal));
+
+        cluster.quotaShareCpus = 13;
+        SchedulingPlan whole = cluster.newPlan(100);
+        cluster.queuePass.placeWaitingJobs(whole, null, cluster.recordsNoTerminations);
+        assertEquals(2, placedTasks(whole, urgent));
+        assertEquals(4, placedTasks(whole, gang));
+        assertEquals(3, placedTasks(whole, older) + placedTasks(whole, normal));
+    }
+
+    @Test
+    void shareBelowUseLetsNothingIn() {
+        SplittableRandom random = new SplittableRandom(6);
+        ClusterFixture cluster = new ClusterFixture(20, random);
+        cluster.addRunningJob(
+                JobFixtures.array(1, "red", JobSpec.Priority.NORMAL, 6, 1, 60), random);
+        JobSpec waiting =
+                cluster.addWaitingJob(JobFixtures.array(2, "red", JobSpec.Priority.HIGH, 5, 1, 10));
+        cluster.quotaShareCpus = 4;
+        SchedulingPlan plan = cluster.newPlan(100);
+        cluster.queuePass.placeWaitingJobs(plan, null, cluster.recordsNoTerminations);
+        assertEquals(0, placedTasks(plan, waiting));
+    }
 }
