--- a/src/test/java/io/quincelead/simulation/InvariantCheckerTest.java
+++ b/src/test/java/io/quincelead/simulation/InvariantCheckerTest.java
@@ -571,4 +571,42 @@
         assertEquals(requestsWhileUnreachable, requests[0]);
         assertEquals(200, status[0]);
     }
+
+    private void submitWithoutAcceptance(JobSpec job) {
+        cluster.start();
+        cluster.runUntil(20_000);
+        cluster.submit(job);
+        cluster.runUntil(320_000);
+        assertTrue(!cluster.acceptedJobs().contains(job.jobId()));
+    }
+
+    /** A job once counted as begun late though no controller could have accepted it. */
+    @Test
+    void submissionThatReachedNobodyIsCountedApart() {
+        for (SimulatedCluster.SimulatedController controller : cluster.controllers) {
+            cluster.after(
+                    15_000, () -> cluster.network.partition(controller.ip, "10.3.0.1", false));
+        }
+        submitWithoutAcceptance(plainJob());
+        assertEquals(List.of("wk-000001"), cluster.serviceLevels().unreachedJobs());
+        assertTrue(
+                cluster.serviceLevels().starved().stream()
+                        .anyMatch(line -> line.startsWith("1 of 1 jobs reached nobody")),
+                cluster.serviceLevels().starved().toString());
+    }
+
+    @Test
+    void submissionThatAHealthyControllerNeverAcceptsIsStarved() {
+        cluster.store.dropsTransaction =
+                transaction -> transaction.toString().contains("a/j/wk-000001");
+        submitWithoutAcceptance(plainJob());
+        assertEquals(List.of(), cluster.serviceLevels().unreachedJobs());
+        assertTrue(
+                cluster.serviceLevels().starved().stream()
+                        .anyMatch(
+                                line ->
+                                        line.startsWith("wk-000001")
+                                                && line.contains("began after")),
+                cluster.serviceLevels().starved().toString());
+    }
 }
--- a/src/test/java/io/quincelead/simulation/ScenarioRunner.java
+++ b/src/test/java/io/quincelead/simulation/ScenarioRunner.java
@@ -118,6 +118,10 @@
                                                             + " team was at its limit)")
                             .toList();
         }
+        List<String> unreached = cluster.serviceLevels().unreachedJobs();
+        if (!unreached.isEmpty()) {
+            System.err.println(scenario + " " + seed + ": reached nobody: " + unreached);
+        }
         boolean passed =
                 cluster.violations().isEmpty()
                         && cluster.unfinishedJobs().isEmpty()
--- a/src/test/java/io/quincelead/simulation/ServiceLevelChecker.java
+++ b/src/test/java/io/quincelead/simulation/ServiceLevelChecker.java
@@ -21,6 +21,9 @@
     /** ms. The largest jobs too begin within this time. */
     static final long FIRST_START_LIMIT_MILLIS = 240_000;
 
+    /** Share of all jobs that may be given up by their users without having reached anybody. */
+    private static final double MAX_UNREACHED_SHARE = 0.05;
+
     private final SimulatedCluster cluster;
     private final Map<String, JobSpec> submittedJobs = new LinkedHashMap<>();
     private final Map<String, Long> submittedAtMillis = new HashMap<>();
@@ -105,6 +108,13 @@
         return result;
     }
 
+    /** Jobs that were never accepted since no attempt met a controller that could accept them. */
+    List<String> unreachedJobs() {
+        return submittedJobs.keySet().stream()
+                .filter(cluster.reachability::neverReachedAnybody)
+                .toList();
+    }
+
     /** Whoever was starved, in words. */
     public List<String> starved() {
         return starved(FIRST_START_LIMIT_MILLIS);
@@ -120,7 +130,19 @@
                                 result.add(name + ": " + share + " served");
                             }
                         });
+        List<String> unreached = unreachedJobs();
+        if (unreached.size() > MAX_UNREACHED_SHARE * submittedJobs.size()) {
+            result.add(
+                    unreached.size()
+                            + " of "
+                            + submittedJobs.size()
+                            + " jobs reached nobody who could accept them: "
+                            + unreached);
+        }
         for (JobSpec job : submittedJobs.values()) {
+            if (unreached.contains(job.jobId())) {
+                continue;
+            }
             long startDelayMillis =
                     firstStartAtMillis.getOrDefault(job.jobId(), cluster.nowMillis())
                             - submittedAtMillis.get(job.jobId());
--- a/src/test/java/io/quincelead/simulation/SimulatedNetwork.java
+++ b/src/test/java/io/quincelead/simulation/SimulatedNetwork.java
@@ -154,6 +154,11 @@
         }
     }
 
+    /** Whether a host is cut off from the host of an address. */
+    boolean isPartitioned(String ip, String address) {
+        return partitionedPairs.contains(pairKey(ip, hostOf(address)));
+    }
+
     public void heal(String firstIp, String secondIp) {
         String pair = pairKey(firstIp, secondIp);
         partitionedPairs.remove(pair);
--- /dev/null
+++ b/src/test/java/io/quincelead/simulation/SubmissionReachability.java
@@ -0,0 +1,59 @@
+package io.quincelead.simulation;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Which submissions met a controller that could have accepted them. A job that nobody ever accepted
+ * has no first start; it counts as starved all the same unless each of its attempts met a
+ * controller that was dead, or cut off from the user or the store, or had been until just before.
+ */
+final class SubmissionReachability {
+    /** ms within which a controller must accept work once nothing impairs it any more. */
+    private static final long RECOVERY_MILLIS = 5_000;
+
+    private final SimulatedCluster cluster;
+    private final Map<SimulatedCluster.SimulatedController, Long> impairedAtMillis =
+            new HashMap<>();
+    private final Set<String> attemptedJobs = new HashSet<>();
+    private final Set<String> reachedJobs = new HashSet<>();
+
+    SubmissionReachability(SimulatedCluster cluster) {
+        this.cluster = cluster;
+    }
+
+    private boolean isImpaired(SimulatedCluster.SimulatedController controller) {
+        return !controller.isStarted()
+                || !controller.isAlive()
+                || cluster.network.isPartitioned(controller.ip, SimulatedCluster.USERS_ADDRESS)
+                || cluster.network.isPartitioned(controller.ip, SimulatedCluster.STORE_ADDRESS)
+                || cluster.store.isUnavailableTo(controller.ip);
+    }
+
+    /** Looks at every controller; called every second. */
+    void check() {
+        for (SimulatedCluster.SimulatedController controller : cluster.controllers) {
+            if (isImpaired(controller)) {
+                impairedAtMillis.put(controller, cluster.nowMillis());
+            }
+        }
+    }
+
+    /** The job's submission is being sent to this controller. */
+    void onAttempt(String jobId, SimulatedCluster.SimulatedController controller) {
+        attemptedJobs.add(jobId);
+        long sinceMillis = impairedAtMillis.getOrDefault(controller, 0L) + RECOVERY_MILLIS;
+        if (!isImpaired(controller) && cluster.nowMillis() >= sinceMillis) {
+            reachedJobs.add(jobId);
+        }
+    }
+
+    /** Whether no attempt to submit the job met a controller that could have accepted it. */
+    boolean neverReachedAnybody(String jobId) {
+        return attemptedJobs.contains(jobId)
+                && !reachedJobs.contains(jobId)
+                && !cluster.acceptedJobs().contains(jobId);
+    }
+}
