--- a/src/main/java/io/quincelead/config/constants/SchedulerConstants.java
+++ b/src/main/java/io/quincelead/config/constants/SchedulerConstants.java
@@ -100,13 +100,16 @@
      */
     public static final double OVERDUE_RAMP_START_FRACTION = 0.375;
 
-    /** Attempts after which a gang's team no longer reserves quota for it: it may never succeed. */
+    /** Attempts after which a job's team no longer reserves quota for it: it may never succeed. */
     public static final int MAX_ATTEMPTS_WITH_RESERVED_QUOTA = 3;
 
     /** How long a team's quota is reserved for one gang at a stretch. */
-    public static final double RESERVED_QUOTA_TURN_SECONDS = 120;
+    public static final double RESERVED_GANG_TURN_SECONDS = 120;
 
-    /** How long it is left to others before the same gang's next turn. */
+    /** How long it is reserved for the first task of one other job. */
+    public static final double RESERVED_TASK_TURN_SECONDS = 30;
+
+    /** How long it is left to others before the same job's next turn. */
     public static final double RESERVED_QUOTA_PAUSE_SECONDS = 30;
 
     /** Fraction of that time by which the stated fraction of its tasks comes first. */
--- a/src/main/java/io/quincelead/leadership/QuotaDistributor.java
+++ b/src/main/java/io/quincelead/leadership/QuotaDistributor.java
@@ -10,11 +10,12 @@
 import io.quincelead.eventloop.EventLoop;
 import io.quincelead.policy.Policy;
 import io.quincelead.store.WatchCache;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,10 +39,8 @@
     private final Policy policy;
     private final QuotaReservations reservations;
 
-    /** By team, the gang its quota is reserved for and since when on the loop's clock. */
-    private final Map<String, ReservedGang> reservedGangs = new HashMap<>();
-
-    private record ReservedGang(Job gang, long sinceMillis) {}
+    /** By team, the jobs its quota is reserved for, to log when they change. */
+    private final Map<String, List<Job>> reservedJobsByTeam = new HashMap<>();
 
     QuotaDistributor(
             EventLoop eventLoop,
@@ -59,34 +58,10 @@
         this.reservations = new QuotaReservations(teams, jobs, policy);
     }
 
-    /** What jobs use and still want of one resource, in CPUs or GPUs. */
-    private static final class ResourceDemand {
-        double used;
-        final double[] wantedByPriority = new double[JobSpec.Priority.values().length];
-    }
-
-    /** What jobs of one team use and still want; those of one controller, or of lost ones. */
-    private static final class JobDemand {
-        final ResourceDemand cpus = new ResourceDemand();
-        final ResourceDemand gpus = new ResourceDemand();
-
-        void addUsed(int taskCount, JobSpec spec) {
-            cpus.used += taskCount * spec.cpus();
-            gpus.used += taskCount * spec.gpus();
-        }
-
-        void addWanted(int priority, int taskCount, JobSpec spec) {
-            cpus.wantedByPriority[priority] += taskCount * spec.cpus();
-            gpus.wantedByPriority[priority] += taskCount * spec.gpus();
-        }
-    }
-
     /**
-     * A team's demand by live member, in the update's order, that of lost controllers' jobs, and
-     * the gang that quota is reserved for; its demand isn't in the others.
+     * A team's demand by live member, in the update's order, and that of lost controllers' jobs.
      */
-    private record TeamDemand(
-            Map<String, JobDemand> byMember, JobDemand orphaned, Optional<Job> reservedGang) {}
+    private record TeamDemand(Map<String, MemberDemand> byMember, MemberDemand orphaned) {}
 
     private enum Resource {
         CPUS,
@@ -96,17 +71,13 @@
             return this == CPUS ? share.cpus() : share.gpus();
         }
 
-        ResourceDemand of(JobDemand demand) {
+        MemberDemand.ResourceDemand of(MemberDemand demand) {
             return this == CPUS ? demand.cpus : demand.gpus;
         }
 
         double limitOf(Settings.Team team) {
             return this == CPUS ? team.maxCpus() : team.maxGpus();
         }
-
-        double needOf(Job gang) {
-            return gang.spec.taskCount() * (this == CPUS ? gang.spec.cpus() : gang.spec.gpus());
-        }
     }
 
     /** Sets the quota shares that are to change; none while some shard's use isn't known. */
@@ -137,15 +108,14 @@
     }
 
     private TeamDemand demandOf(Settings.Team team, ShardUpdate update) {
-        TeamDemand demand =
-                new TeamDemand(
-                        new LinkedHashMap<>(), new JobDemand(), reservedGang(team.name(), update));
-        update.memberIds().forEach(memberId -> demand.byMember.put(memberId, new JobDemand()));
+        TeamDemand demand = new TeamDemand(new LinkedHashMap<>(), new MemberDemand());
+        update.memberIds().forEach(memberId -> demand.byMember.put(memberId, new MemberDemand()));
+        List<Job> reserved = reservedJobs(team.name());
         for (Job job : jobs.all()) {
             if (!job.spec.team().equals(team.name())) {
                 continue;
             }
-            JobDemand memberDemand =
+            MemberDemand memberDemand =
                     membership.shardOf(job.controllerId()) == null
                             ? null
                             : demand.byMember.get(job.controllerId());
@@ -154,97 +124,62 @@
                 continue;
             }
             memberDemand.addUsed(job.placedTaskCount(), job.spec);
-            if (!job.isCancelled() && demand.reservedGang.orElse(null) != job) {
-                addWanted(memberDemand, job);
+            int reservedTasks = reserved.contains(job) ? QuotaReservations.reservedTasks(job) : 0;
+            memberDemand.addReserved(reservedTasks, job.spec);
+            if (!job.isCancelled()) {
+                addWanted(memberDemand, job, reservedTasks);
             }
         }
         return demand;
     }
 
-    /** The gang that the team's quota is reserved for; none while its controller has no shard. */
-    private Optional<Job> reservedGang(String team, ShardUpdate update) {
-        Optional<Job> gang =
-                reservations
-                        .reservedGang(team, eventLoop.wallClockMillis())
-                        .filter(job -> membership.shardOf(job.controllerId()) != null)
-                        .filter(job -> update.memberIds().contains(job.controllerId()));
-        logChange(team, gang.orElse(null));
-        return gang;
-    }
-
-    private void logChange(String team, Job gang) {
-        ReservedGang previous = reservedGangs.get(team);
-        if (previous != null && previous.gang == gang || previous == null && gang == null) {
-            return;
-        }
-        if (previous != null) {
+    private List<Job> reservedJobs(String team) {
+        List<Job> reserved = reservations.reservedJobs(team, eventLoop.wallClockMillis());
+        if (!reserved.equals(reservedJobsByTeam.getOrDefault(team, List.of()))) {
             LOG.info(
-                    "quota of {} was reserved for {} for {} ms",
+                    "quota of {} is reserved for {}",
                     team,
-                    previous.gang.spec.jobId(),
-                    eventLoop.nowMillis() - previous.sinceMillis);
-        }
-        if (gang == null) {
-            reservedGangs.remove(team);
-        } else {
-            LOG.info(
-                    "quota of {} is reserved for {}: {} CPUs, {} GPUs",
-                    team,
-                    gang.spec.jobId(),
-                    Resource.CPUS.needOf(gang),
-                    Resource.GPUS.needOf(gang));
-            reservedGangs.put(team, new ReservedGang(gang, eventLoop.nowMillis()));
+                    reserved.stream().map(job -> job.spec.jobId()).toList());
+            reservedJobsByTeam.put(team, reserved);
         }
+        return reserved;
     }
 
     /**
      * What a job needs to be on schedule counts as work of normal priority at least: of a team at
      * its limit, work of low priority would else get nothing.
      */
-    private void addWanted(JobDemand demand, Job job) {
+    private void addWanted(MemberDemand demand, Job job, int reservedTasks) {
         int priority = job.spec.priority().ordinal();
         int requiredTasks =
                 policy.requiredStartedTaskCount(job, eventLoop.wallClockMillis())
                         - job.completedTaskCount()
                         - job.possiblyRunningTaskCount();
-        int overdueTasks = Math.min(job.pendingTaskCount(), Math.max(0, requiredTasks));
+        int pendingTasks = job.pendingTaskCount() - reservedTasks;
+        int overdueTasks = Math.min(pendingTasks, Math.max(0, requiredTasks - reservedTasks));
         demand.addWanted(
                 Math.min(priority, JobSpec.Priority.NORMAL.ordinal()), overdueTasks, job.spec);
-        demand.addWanted(priority, job.pendingTaskCount() - overdueTasks, job.spec);
+        demand.addWanted(priority, pendingTasks - overdueTasks, job.spec);
     }
 
     /** The next shares of one resource, in the order of the demand's members. */
     private double[] split(Settings.Team team, TeamDemand demand, Resource resource) {
-        int memberCount = demand.byMember.size();
-        double[] currentShares = new double[memberCount];
-        double[] usedByMember = new double[memberCount];
-        double[][] wantedByPriority = new double[memberCount][];
+        List<QuotaShares.MemberQuota> members = new ArrayList<>();
+        double[] reservedByMember = new double[demand.byMember.size()];
         boolean hasNewMember = false;
-        QuotaShares.Reservation reservation = QuotaShares.Reservation.NONE;
-        int index = 0;
-        for (Map.Entry<String, JobDemand> entry : demand.byMember.entrySet()) {
+        for (Map.Entry<String, MemberDemand> entry : demand.byMember.entrySet()) {
             Shard shard = membership.shardOf(entry.getKey());
-            ResourceDemand memberDemand = resource.of(entry.getValue());
+            MemberDemand.ResourceDemand memberDemand = resource.of(entry.getValue());
             hasNewMember |= shard == null || !shard.quotaShares().containsKey(team.name());
-            currentShares[index] =
-                    resource.of(shard == null ? QuotaShare.NONE : shard.quotaShare(team.name()));
-            usedByMember[index] = memberDemand.used;
-            wantedByPriority[index] = memberDemand.wantedByPriority;
-            Job gang = demand.reservedGang.orElse(null);
-            if (gang != null && gang.controllerId().equals(entry.getKey())) {
-                reservation =
-                        new QuotaShares.Reservation(
-                                index, resource.needOf(gang), QuotaReservations.RESERVED_PRIORITY);
-            }
-            index++;
+            QuotaShare share = shard == null ? QuotaShare.NONE : shard.quotaShare(team.name());
+            reservedByMember[members.size()] = memberDemand.reserved();
+            members.add(memberDemand.quota(resource.of(share)));
         }
         return QuotaShares.split(
                 resource.limitOf(team),
-                resource.of(demand.orphaned).used,
-                currentShares,
-                usedByMember,
-                wantedByPriority,
-                reservation,
+                resource.of(demand.orphaned).used(),
+                members,
+                new QuotaShares.Reservation(reservedByMember, QuotaReservations.RESERVED_PRIORITY),
                 hasNewMember);
     }
 }
--- a/src/main/java/io/quincelead/leadership/QuotaReservations.java
+++ b/src/main/java/io/quincelead/leadership/QuotaReservations.java
@@ -10,18 +10,22 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 /**
- * Which gang a team's quota is reserved for. A gang needs all of its quota at one time, while
- * arrays take each CPU as it comes free; so one gang of a team at a time, the oldest of those that
- * are overdue, comes before all other work of normal priority until it has started. Urgent gangs
- * don't take part: no machines are drained for them, and quota alone would idle.
+ * Which overdue first starts a team's quota is reserved for. Arrays that refill each CPU as it
+ * comes free would otherwise keep the quota of a team at its limit from jobs of other controllers,
+ * and from gangs, which need all of theirs at one time. So one gang of a team and the first task of
+ * one other job, the oldest each, come before all other work of normal priority until they have
+ * started. Urgent work doesn't take part: no machines are drained for it, and quota alone would
+ * idle.
  *
- * <p>Decided from records and the time of day alone: the leader and the gang's controller come to
+ * <p>Decided from records and the time of day alone: the leader and the job's controller come to
  * the same answer, and so does a new leader.
  */
 public final class QuotaReservations {
+    /** Overdue work counts as normal; what is more urgent comes before what is reserved. */
+    static final int RESERVED_PRIORITY = JobSpec.Priority.NORMAL.ordinal();
+
     /** CPUs or GPUs; smaller differences are rounding. */
     private static final double ROUNDING_SLACK = 1e-9;
 
@@ -29,9 +33,6 @@
             Comparator.comparingLong(Job::acceptedAtEpochMillis)
                     .thenComparing(job -> job.spec.jobId());
 
-    /** Overdue work counts as normal; what is more urgent comes before the reserved gang. */
-    static final int RESERVED_PRIORITY = JobSpec.Priority.NORMAL.ordinal();
-
     private final Map<String, Settings.Team> teams;
     private final JobTable jobs;
     private final Policy policy;
@@ -43,51 +44,82 @@
         this.policy = policy;
     }
 
+    /** CPUs and GPUs of a team that are available to what isn't a service. */
+    private static final class Available {
+        private double cpus;
+        private double gpus;
+
+        private Available(Settings.Team team) {
+            cpus = team.maxCpus();
+            gpus = team.maxGpus();
+        }
+
+        private boolean fits(Job job) {
+            int tasks = reservedTasks(job);
+            return tasks * job.spec.cpus() <= cpus + ROUNDING_SLACK
+                    && tasks * job.spec.gpus() <= gpus + ROUNDING_SLACK;
+        }
+
+        private void subtract(JobSpec spec, int tasks) {
+            cpus -= tasks * spec.cpus();
+            gpus -= tasks * spec.gpus();
+        }
+    }
+
+    /** How many of the job's tasks start together: all of a gang, one of any other job. */
+    public static int reservedTasks(Job job) {
+        return job.spec.isGang() ? job.spec.taskCount() : 1;
+    }
+
     /**
-     * The gang that the team's quota is reserved for, if there is one.
+     * The jobs whose first start the team's quota is reserved for: at most one gang and one other
+     * job, the older one first. Together they fit into the team's limit beside its services.
      *
      * @param wallMillis now, in milliseconds since 1970
      */
-    public Optional<Job> reservedGang(String teamName, long wallMillis) {
+    public List<Job> reservedJobs(String teamName, long wallMillis) {
         Settings.Team team = teams.get(teamName);
         if (team == null) {
-            return Optional.empty();
+            return List.of();
         }
-        List<Job> waitingGangs = new ArrayList<>();
-        double serviceCpus = 0;
-        double serviceGpus = 0;
+        Available available = new Available(team);
+        List<Job> overdue = new ArrayList<>();
         for (Job job : jobs.all()) {
-            if (!job.spec.team().equals(teamName)) {
+            if (!job.spec.team().equals(teamName) || job.isCancelled()) {
                 continue;
             }
-            if (waitsTooLong(job, wallMillis)) {
-                waitingGangs.add(job);
-            } else if (job.spec.isService() && !job.isCancelled()) {
-                serviceCpus += job.placedTaskCount() * job.spec.cpus();
-                serviceGpus += job.placedTaskCount() * job.spec.gpus();
+            if (isOverdueToStart(job, wallMillis)) {
+                overdue.add(job);
+            }
+            if (job.spec.isService()) {
+                // Services run until they are cancelled.
+                available.subtract(job.spec, job.placedTaskCount());
             }
         }
-        // Services run until they are cancelled: beside them there must be enough for the gang.
-        double availableCpus = team.maxCpus() - serviceCpus;
-        double availableGpus = team.maxGpus() - serviceGpus;
-        return waitingGangs.stream()
-                .filter(gang -> fits(gang, gang.spec.cpus(), availableCpus))
-                .filter(gang -> fits(gang, gang.spec.gpus(), availableGpus))
-                .min(OLDEST_FIRST);
+        overdue.sort(OLDEST_FIRST);
+        return oldestThatFit(overdue, available);
     }
 
-    private static boolean fits(Job gang, double amountPerTask, double available) {
-        return amountPerTask * gang.spec.taskCount() <= available + ROUNDING_SLACK;
+    private static List<Job> oldestThatFit(List<Job> oldestFirst, Available available) {
+        List<Job> reserved = new ArrayList<>(2);
+        for (Job job : oldestFirst) {
+            boolean kindTaken =
+                    reserved.stream().anyMatch(other -> other.spec.isGang() == job.spec.isGang());
+            if (!kindTaken && available.fits(job)) {
+                reserved.add(job);
+                available.subtract(job.spec, reservedTasks(job));
+            }
+        }
+        return reserved;
     }
 
     /**
-     * Whether the job is an overdue gang whose turn it is. One that lacks machines would idle its
-     * team for ever, so turns end and begin again. One that has been started several times in vain
-     * is left out: it may fail on every machine.
+     * Whether no task of the job has started, one is overdue to, and it is the job's turn. One that
+     * lacks machines would hold quota for ever, so turns end and begin again. One that has been
+     * started several times in vain is left out: it may fail on every machine.
      */
-    public boolean waitsTooLong(Job job, long wallMillis) {
-        return job.spec.isGang()
-                && !job.isCancelled()
+    public boolean isOverdueToStart(Job job, long wallMillis) {
+        return !job.isCancelled()
                 && job.completedTaskCount() == 0
                 && job.placedTaskCount() == 0
                 && job.page(0).lastAttempt < SchedulerConstants.MAX_ATTEMPTS_WITH_RESERVED_QUOTA
@@ -95,14 +127,16 @@
                 && isItsTurn(job, wallMillis);
     }
 
-    private boolean isItsTurn(Job gang, long wallMillis) {
+    private boolean isItsTurn(Job job, long wallMillis) {
         double overdueSeconds =
-                (wallMillis - gang.acceptedAtEpochMillis()) / 1000.0
-                        - policy.priorityOf(gang).startWithinSeconds()
+                (wallMillis - job.acceptedAtEpochMillis()) / 1000.0
+                        - policy.priorityOf(job).startWithinSeconds()
                                 * SchedulerConstants.OVERDUE_RAMP_START_FRACTION;
-        double cycleSeconds =
-                SchedulerConstants.RESERVED_QUOTA_TURN_SECONDS
-                        + SchedulerConstants.RESERVED_QUOTA_PAUSE_SECONDS;
-        return overdueSeconds % cycleSeconds < SchedulerConstants.RESERVED_QUOTA_TURN_SECONDS;
+        double turnSeconds =
+                job.spec.isGang()
+                        ? SchedulerConstants.RESERVED_GANG_TURN_SECONDS
+                        : SchedulerConstants.RESERVED_TASK_TURN_SECONDS;
+        double pauseSeconds = SchedulerConstants.RESERVED_QUOTA_PAUSE_SECONDS;
+        return overdueSeconds % (turnSeconds + pauseSeconds) < turnSeconds;
     }
 }
--- a/src/main/java/io/quincelead/leadership/QuotaShares.java
+++ b/src/main/java/io/quincelead/leadership/QuotaShares.java
@@ -18,57 +18,60 @@
     private static final double MIN_EXACT_CHANGE = 1e-6;
 
     /**
-     * What one gang needs at one time, before all other demand of its priority.
+     * What overdue jobs need for their first start, before all other demand of a priority.
      *
-     * @param member whose gang it is
-     * @param amount CPUs or GPUs of the whole gang; it is in no member's other demand
-     * @param priority before whose other demand it comes
+     * @param amounts CPUs or GPUs by member; they are in no member's other demand
+     * @param priority before whose other demand they come
      */
-    record Reservation(int member, double amount, int priority) {
+    record Reservation(double[] amounts, int priority) {
         /** Nothing is reserved. */
-        static final Reservation NONE = new Reservation(0, 0, 0);
+        static Reservation none(int memberCount) {
+            return new Reservation(new double[memberCount], 0);
+        }
+
+        private boolean isEmpty() {
+            return Arrays.stream(amounts).sum() <= EPSILON;
+        }
     }
 
-    private final double limit;
-    private final double[] currentShares;
-    private final double[] usedByMember;
+    /**
+     * One member's part of the quota. Arrays are by priority, the highest priority first.
+     *
+     * @param share its share on record
+     * @param used what tasks on record use
+     * @param wanted what waits
+     * @param unit the least of what waits that can start by itself: a task, or a gang; 0 where
+     *     nothing waits or any amount is of use
+     */
+    record MemberQuota(double share, double used, double[] wanted, double[] unit) {
+        /** What the member may use now. */
+        private double usable() {
+            return Math.max(share, used);
+        }
 
-    /** By member and priority, the highest priority first. */
-    private final double[][] wantedByPriority;
+        private double totalWanted() {
+            return Arrays.stream(wanted).sum();
+        }
+    }
 
+    private final double limit;
+    private final List<MemberQuota> members;
     private final Reservation reservation;
     private final int memberCount;
-    private final double[] wantedTotals;
     private final double usedTotal;
     private final double committedTotal;
 
     private QuotaShares(
-            double limit,
-            double orphanedUse,
-            double[] currentShares,
-            double[] usedByMember,
-            double[][] wantedByPriority,
-            Reservation reservation) {
+            double limit, double orphanedUse, List<MemberQuota> members, Reservation reservation) {
         this.limit = limit;
-        this.currentShares = currentShares;
-        this.usedByMember = usedByMember;
-        this.wantedByPriority = wantedByPriority;
+        this.members = members;
         this.reservation = reservation;
-        memberCount = currentShares.length;
-        wantedTotals = new double[memberCount];
-        double used = orphanedUse;
-        double committed = orphanedUse;
-        for (int i = 0; i < memberCount; i++) {
-            wantedTotals[i] = Arrays.stream(wantedByPriority[i]).sum();
-            used += usedByMember[i];
-            committed += usable(i);
-        }
-        wantedTotals[reservation.member] += reservation.amount;
-        usedTotal = used;
-        committedTotal = committed;
+        memberCount = members.size();
+        usedTotal = orphanedUse + members.stream().mapToDouble(MemberQuota::used).sum();
+        committedTotal = orphanedUse + members.stream().mapToDouble(MemberQuota::usable).sum();
     }
 
-    /** The next shares by member where nothing is reserved. */
+    /** The next shares by member where any amount is of use and nothing is reserved. */
     static double[] split(
             double limit,
             double orphanedUse,
@@ -76,63 +79,57 @@
             double[] usedByMember,
             double[][] wantedByPriority,
             boolean hasNewMember) {
-        return split(
-                limit,
-                orphanedUse,
-                currentShares,
-                usedByMember,
-                wantedByPriority,
-                Reservation.NONE,
-                hasNewMember);
+        List<MemberQuota> members = new ArrayList<>();
+        for (int i = 0; i < currentShares.length; i++) {
+            double[] wanted = wantedByPriority[i];
+            members.add(
+                    new MemberQuota(
+                            currentShares[i], usedByMember[i], wanted, new double[wanted.length]));
+        }
+        return split(limit, orphanedUse, members, Reservation.none(members.size()), hasNewMember);
     }
 
     /**
      * The next shares by member. A member may use the larger of its current share and its use on
      * record. Only what is free under the shares on record is given out: what this takes away can
-     * be given out by a later split, once it is on record. While a reserved gang lacks quota, the
+     * be given out by a later split, once it is on record. While what is reserved lacks quota, the
      * other members' shares fall below their use by as much: what ends there isn't replaced, and
-     * the splits that follow give it to the gang's member.
+     * the splits that follow give it to whom it is reserved for.
      *
      * @param limit the team's limit
      * @param orphanedUse what tasks of lost controllers use
-     * @param currentShares the shares on record
-     * @param usedByMember what tasks on record use
-     * @param wantedByPriority what waits, by member and priority, the highest priority first
-     * @param reservation what the one gang needs that comes first
+     * @param members the members, in one order throughout
+     * @param reservation what overdue first starts need
      * @param hasNewMember whether some member has had no share yet
-     * @return {@code currentShares} itself where nothing is to change
      */
     static double[] split(
             double limit,
             double orphanedUse,
-            double[] currentShares,
-            double[] usedByMember,
-            double[][] wantedByPriority,
+            List<MemberQuota> members,
             Reservation reservation,
             boolean hasNewMember) {
-        QuotaShares shares =
-                new QuotaShares(
-                        limit,
-                        orphanedUse,
-                        currentShares,
-                        usedByMember,
-                        wantedByPriority,
-                        reservation);
-        return hasNewMember || shares.hasUnmetDemand() ? shares.nextShares() : currentShares;
+        QuotaShares shares = new QuotaShares(limit, orphanedUse, members, reservation);
+        return hasNewMember || shares.hasUnmetDemand()
+                ? shares.nextShares()
+                : members.stream().mapToDouble(MemberQuota::share).toArray();
     }
 
-    /** What a member may use now. */
     private double usable(int member) {
-        return Math.max(currentShares[member], usedByMember[member]);
+        return members.get(member).usable();
+    }
+
+    private double wantedTotal(int member) {
+        return members.get(member).totalWanted() + reservation.amounts[member];
     }
 
     private boolean lacksShare(int member) {
-        return currentShares[member] - usedByMember[member] < wantedTotals[member] - EPSILON;
+        MemberQuota quota = members.get(member);
+        return quota.share - quota.used < wantedTotal(member) - EPSILON;
     }
 
     private boolean hasUnmetDemand() {
         for (int i = 0; i < memberCount; i++) {
-            if (wantedTotals[i] > 0 && lacksShare(i)) {
+            if (wantedTotal(i) > 0 && lacksShare(i)) {
                 return true;
             }
         }
@@ -148,10 +145,11 @@
             boolean mustBeExact =
                     reachesStage(i, nextShares[i], targetStages)
                             || (nearlyMet || reservationLacking)
-                                    && nextShares[i] < currentShares[i];
-            double change = Math.abs(nextShares[i] - currentShares[i]);
-            if (currentShares[i] > 0 && change < minimumChange(i, mustBeExact)) {
-                nextShares[i] = currentShares[i];
+                                    && nextShares[i] < members.get(i).share;
+            double share = members.get(i).share;
+            double change = Math.abs(nextShares[i] - share);
+            if (share > 0 && change < minimumChange(i, mustBeExact)) {
+                nextShares[i] = share;
             }
         }
         return nextShares;
@@ -163,48 +161,50 @@
         for (int i = 0; i < memberCount; i++) {
             // Terminations of tasks may be recorded late and the use on record pass the limit for a
             // while; nobody's share rises by that.
-            double most = committedTotal > limit + 1e-6 ? currentShares[i] : usable(i);
+            double most = committedTotal > limit + 1e-6 ? members.get(i).share : usable(i);
             shares[i] = Math.min(finalTarget[i], most);
         }
         return shares;
     }
 
     /**
-     * Lowers the other members' shares below their use by what the reserved gang still lacks, but
-     * for those that have just been granted something for more urgent work. Each by all of it, for
-     * which of them has tasks that end soon isn't known; what they give up too much returns with
-     * the next split.
+     * Lowers members' shares below their use by what is reserved for the others and still lacking,
+     * but for those that have just been granted something for more urgent work. Each by all of it,
+     * for which of them has tasks that end soon isn't known; what they give up too much returns
+     * with the next split.
      *
-     * @return whether the gang lacks something
+     * @return whether something is lacking
      */
     private boolean withdrawForReservation(double[] nextShares) {
-        int member = reservation.member;
-        double lacking =
-                usedByMember[member]
-                        + wantedBeforeReservation(member)
-                        + reservation.amount
-                        - nextShares[member];
-        if (reservation.amount <= 0 || lacking <= EPSILON) {
+        double[] entitled = new double[memberCount];
+        double[] lacking = new double[memberCount];
+        for (int i = 0; i < memberCount; i++) {
+            entitled[i] = members.get(i).used + wantedBeforeReservation(i) + reservation.amounts[i];
+            boolean reserves = reservation.amounts[i] > 0;
+            lacking[i] = reserves ? Math.max(0, entitled[i] - nextShares[i]) : 0;
+        }
+        double totalLacking = Arrays.stream(lacking).sum();
+        if (totalLacking <= EPSILON) {
             return false;
         }
         for (int i = 0; i < memberCount; i++) {
-            if (i != member && nextShares[i] <= usable(i) + EPSILON) {
-                double kept = usedByMember[i] + wantedBeforeReservation(i) - lacking;
+            if (nextShares[i] <= usable(i) + EPSILON) {
+                double kept = entitled[i] - (totalLacking - lacking[i]);
                 nextShares[i] = Math.min(nextShares[i], Math.max(0, kept));
             }
         }
         return true;
     }
 
-    /** What a member wants for work of higher priority than the reserved gang. */
+    /** What a member wants for work of higher priority than what is reserved. */
     private double wantedBeforeReservation(int member) {
-        return Arrays.stream(wantedByPriority[member], 0, reservation.priority).sum();
+        return Arrays.stream(members.get(member).wanted, 0, reservation.priority).sum();
     }
 
     /** Whether the next share is what a member that lacks some needs for one of the stages. */
     private boolean reachesStage(int member, double nextShare, double[][] targetStages) {
         for (double[] stage : targetStages) {
-            if (currentShares[member] < stage[member] - EPSILON
+            if (members.get(member).share < stage[member] - EPSILON
                     && lacksShare(member)
                     && nextShare >= stage[member] - EPSILON) {
                 return true;
@@ -224,9 +224,8 @@
             return MIN_EXACT_CHANGE;
         }
         double tolerance = LeadershipConstants.QUOTA_SHARE_TOLERANCE_FRACTION * limit;
-        boolean hasSpare =
-                wantedTotals[member] <= 0
-                        || currentShares[member] - usedByMember[member] > tolerance;
+        MemberQuota quota = members.get(member);
+        boolean hasSpare = wantedTotal(member) <= 0 || quota.share - quota.used > tolerance;
         return Math.max(LeadershipConstants.MIN_QUOTA_SHARE_CHANGE_UNITS, hasSpare ? tolerance : 0);
     }
 
@@ -264,18 +263,17 @@
     /**
      * What each member would get if everything could move at once, one stage a priority, each on
      * top of the one before: demand of higher priority first, for shared evenly, a large job of low
-     * priority would keep an urgent gang from ever fitting. The reserved gang has a stage of its
-     * own before the others of its priority. In the last stage, what nobody wants is shared evenly.
+     * priority would keep an urgent gang from ever fitting. What is reserved has a stage of its own
+     * before the others of its priority. In the last stage, what nobody wants is shared evenly.
      */
     private double[][] cumulativeTargets() {
         List<double[]> targetStages = new ArrayList<>();
         double remaining = Math.max(0, limit - usedTotal);
-        double[] target = usedByMember.clone();
-        for (int priority = 0; priority < wantedByPriority[0].length; priority++) {
-            if (reservation.amount > 0 && priority == reservation.priority) {
-                double reserved = Math.min(remaining, reservation.amount);
-                target[reservation.member] += reserved;
-                remaining -= reserved;
+        double[] target = members.stream().mapToDouble(MemberQuota::used).toArray();
+        int priorities = members.get(0).wanted.length;
+        for (int priority = 0; priority < priorities; priority++) {
+            if (priority == reservation.priority && !reservation.isEmpty()) {
+                remaining -= addShare(target, reservation.amounts, remaining);
                 targetStages.add(target.clone());
             }
             remaining -= addWanted(target, priority, remaining);
@@ -288,15 +286,78 @@
         return targetStages.toArray(new double[0][]);
     }
 
-    /** Adds to the targets what the members want at a priority, in proportion; returns the sum. */
+    /**
+     * Adds to the targets what the members want at a priority; returns the sum. Where that is more
+     * than remains, each gets its part in whole units, for a part of a task is of no use to
+     * anybody.
+     */
     private double addWanted(double[] target, int priority, double remaining) {
-        double wantedTotal = 0;
-        for (double[] memberWants : wantedByPriority) {
-            wantedTotal += memberWants[priority];
+        double[] wanted = members.stream().mapToDouble(quota -> quota.wanted[priority]).toArray();
+        if (Arrays.stream(wanted).sum() <= remaining) {
+            return addShare(target, wanted, remaining);
+        }
+        double[] before = target.clone();
+        addShare(target, wanted, remaining);
+        double left = remaining;
+        for (int i = 0; i < memberCount; i++) {
+            double unit = members.get(i).unit[priority];
+            double part = target[i] - before[i];
+            double whole = unit > 0 ? Math.floor((part + EPSILON) / unit) * unit : part;
+            target[i] = before[i] + whole;
+            left -= whole;
         }
+        addLeftUnits(target, before, priority, Math.max(0, left));
+        return remaining;
+    }
+
+    /**
+     * Gives out what rounding left, unit by unit; what no unit fits into is gathered by one that
+     * still wants some, for work of lower priority would never give it back.
+     */
+    private void addLeftUnits(double[] target, double[] before, int priority, double amount) {
+        double left = amount;
+        while (left > EPSILON) {
+            int next = nextInNeed(target, before, priority, left);
+            double unit = next < 0 ? 0 : members.get(next).unit[priority];
+            if (next < 0) {
+                next = nextInNeed(target, before, priority, Double.POSITIVE_INFINITY);
+                unit = left;
+            }
+            if (next < 0) {
+                return;
+            }
+            target[next] += unit;
+            left -= unit;
+        }
+    }
+
+    /**
+     * The member that wants another unit of at most this size, first whoever may use it already, so
+     * that shares stay where they are; -1: none.
+     */
+    private int nextInNeed(double[] target, double[] before, int priority, double mostUnit) {
+        int next = -1;
+        for (int i = 0; i < memberCount; i++) {
+            MemberQuota quota = members.get(i);
+            double unit = quota.unit[priority];
+            boolean wants = target[i] - before[i] + unit <= quota.wanted[priority] + EPSILON;
+            if (unit > 0
+                    && unit <= mostUnit + EPSILON
+                    && wants
+                    && (next < 0
+                            || usable(i) - target[i] > usable(next) - target[next] + EPSILON)) {
+                next = i;
+            }
+        }
+        return next;
+    }
+
+    /** Adds to the targets what is wanted, or as much in proportion; returns the sum. */
+    private static double addShare(double[] target, double[] wanted, double remaining) {
+        double wantedTotal = Arrays.stream(wanted).sum();
         double granted = Math.min(remaining, wantedTotal);
-        for (int i = 0; i < memberCount && wantedTotal > 0; i++) {
-            target[i] += granted * wantedByPriority[i][priority] / wantedTotal;
+        for (int i = 0; i < target.length && wantedTotal > 0; i++) {
+            target[i] += granted * wanted[i] / wantedTotal;
         }
         return granted;
     }
--- a/src/main/java/io/quincelead/scheduler/QueuePass.java
+++ b/src/main/java/io/quincelead/scheduler/QueuePass.java
@@ -13,7 +13,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 /**
  * One pass over the queue of waiting jobs: finds the jobs that wait and the free capacity, ranks
@@ -223,18 +222,19 @@
         unservedJobs.forgetFinishedJobs();
     }
 
-    /** Reserves the quota of each team that one of our gangs comes first in. */
+    /** Reserves quota for those of our jobs that are the first of their teams to get it. */
     private void reserveQuota(
             List<QueueOrder.RankedJob> queue, QuotaSaving quotaSaving, long wallMillis) {
-        Map<String, Optional<Job>> gangByTeam = new HashMap<>();
+        Map<String, List<Job>> reservedByTeam = new HashMap<>();
         for (QueueOrder.RankedJob ranked : queue) {
             Job job = ranked.job();
-            if (quotaReservations.waitsTooLong(job, wallMillis)) {
-                Optional<Job> first =
-                        gangByTeam.computeIfAbsent(
-                                job.spec.team(),
-                                team -> quotaReservations.reservedGang(team, wallMillis));
-                first.filter(gang -> gang == job).ifPresent(gang -> quotaSaving.reserveFor(ranked));
+            if (quotaReservations.isOverdueToStart(job, wallMillis)
+                    && reservedByTeam
+                            .computeIfAbsent(
+                                    job.spec.team(),
+                                    team -> quotaReservations.reservedJobs(team, wallMillis))
+                            .contains(job)) {
+                quotaSaving.reserveFor(ranked);
             }
         }
     }
--- a/src/main/java/io/quincelead/scheduler/QuotaSaving.java
+++ b/src/main/java/io/quincelead/scheduler/QuotaSaving.java
@@ -3,8 +3,10 @@
 import io.quincelead.cluster.Job;
 import io.quincelead.cluster.JobSpec;
 import io.quincelead.cluster.JobTable;
+import io.quincelead.leadership.QuotaReservations;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 
@@ -18,11 +20,11 @@
     private final String memberId;
     private final TerminationRecorder terminations;
 
-    /** By team, our gang that the team's quota is reserved for. */
-    private final Map<String, QueueOrder.RankedJob> reservedGangs = new HashMap<>();
+    /** Our jobs that their teams' quota is reserved for, at their first position in the queue. */
+    private final Map<Job, QueueOrder.RankedJob> reservedJobs = new LinkedHashMap<>();
 
-    /** Teams whose quota share counts as used by what is reserved, for the present job. */
-    private final Set<String> teamsWithheld = new HashSet<>();
+    /** Those of them whose need counts as used while the present job is placed. */
+    private final Set<Job> withheldJobs = new HashSet<>();
 
     /**
      * Teams whose terminations are all on record or in the plan, and whose quota share is short all
@@ -42,32 +44,32 @@
     }
 
     /**
-     * The team's quota is reserved for this gang of ours; its first position in the queue counts.
+     * The team's quota is reserved for this job of ours; its first position in the queue counts.
      */
-    void reserveFor(QueueOrder.RankedJob gang) {
-        reservedGangs.putIfAbsent(gang.job().spec.team(), gang);
+    void reserveFor(QueueOrder.RankedJob ranked) {
+        reservedJobs.putIfAbsent(ranked.job(), ranked);
     }
 
     /**
-     * Withholds the quota share that is reserved for a gang while another job of its team is
-     * placed, and releases it for the gang itself and for what is more urgent. To be called before
-     * each job.
+     * Withholds the quota share that is reserved for a job while another one of its team is placed,
+     * and releases it for the job itself and for what is more urgent. To be called before each job.
      */
     void withholdReserved(QueueOrder.RankedJob ranked) {
-        String team = ranked.job().spec.team();
-        QueueOrder.RankedJob gang = reservedGangs.get(team);
-        if (gang == null) {
-            return;
-        }
-        boolean withhold =
-                gang.job() != ranked.job()
-                        && ranked.tier() >= gang.tier()
-                        && plan.unplacedTasks(gang.job()) > 0;
-        JobSpec spec = gang.job().spec;
-        if (withhold && teamsWithheld.add(team)) {
-            TeamUsage.add(plan.ownUsage, spec, spec.taskCount());
-        } else if (!withhold && teamsWithheld.remove(team)) {
-            TeamUsage.add(plan.ownUsage, spec, -spec.taskCount());
+        for (QueueOrder.RankedJob reserved : reservedJobs.values()) {
+            Job job = reserved.job();
+            if (!job.spec.team().equals(ranked.job().spec.team())) {
+                continue;
+            }
+            boolean withhold =
+                    job != ranked.job()
+                            && ranked.tier() >= reserved.tier()
+                            && plan.unplacedTasks(job) == job.spec.taskCount();
+            int reservedTasks = QuotaReservations.reservedTasks(job);
+            if (withhold && withheldJobs.add(job)) {
+                TeamUsage.add(plan.ownUsage, job.spec, reservedTasks);
+            } else if (!withhold && withheldJobs.remove(job)) {
+                TeamUsage.add(plan.ownUsage, job.spec, -reservedTasks);
+            }
         }
     }
 
--- a/src/test/java/io/quincelead/leadership/QuotaReservationsTest.java
+++ b/src/test/java/io/quincelead/leadership/QuotaReservationsTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.quincelead.cluster.Job;
 import io.quincelead.cluster.JobSpec;
 import io.quincelead.cluster.JobTable;
 import io.quincelead.config.Settings;
@@ -17,10 +16,9 @@
 import io.quincelead.transport.WireFormat;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
-/** Which gang a team's quota is reserved for, by records alone. */
+/** Which overdue first starts a team's quota is reserved for, by records alone. */
 class QuotaReservationsTest {
     private static final long NOW_MILLIS = 1_000_000;
     private static final long LONG_AGO_MILLIS = NOW_MILLIS - 100_000;
@@ -73,16 +71,14 @@
                     new Transaction().put("a/j/" + spec.jobId(), job), ++revision);
         }
 
-        Optional<String> reserved() {
+        List<String> reserved() {
             return reserved("blue");
         }
 
-        Optional<String> reserved(String team) {
-            return reservations.reservedGang(team, NOW_MILLIS).map(this::idOf);
-        }
-
-        private String idOf(Job job) {
-            return job.spec.jobId();
+        List<String> reserved(String team) {
+            return reservations.reservedJobs(team, NOW_MILLIS).stream()
+                    .map(job -> job.spec.jobId())
+                    .toList();
         }
     }
 
@@ -97,13 +93,13 @@
         records.put(gang(1, JobSpec.Priority.NORMAL, 4, 2), LONG_AGO_MILLIS);
         records.put(gang(2, JobSpec.Priority.BEST_EFFORT, 4, 2), LONG_AGO_MILLIS - 1);
         records.put(gang(3, JobSpec.Priority.NORMAL, 4, 2), NOW_MILLIS - 80_000);
-        assertEquals(Optional.of("wk-000002"), records.reserved());
+        assertEquals(List.of("wk-000002"), records.reserved());
     }
 
     @Test
     void nothingIsReservedForGangsThatHaveNotWaitedLong() {
         records.put(gang(1, JobSpec.Priority.NORMAL, 4, 2), NOW_MILLIS - 89_000);
-        assertEquals(Optional.empty(), records.reserved());
+        assertEquals(List.of(), records.reserved());
     }
 
     /** No machines are drained for them: their teams once idled beside quota without machines. */
@@ -111,7 +107,7 @@
     void urgentGangsReserveNothing() {
         records.put(gang(1, JobSpec.Priority.HIGH, 4, 2), LONG_AGO_MILLIS);
         records.put(gang(2, JobSpec.Priority.PRODUCTION, 4, 2), LONG_AGO_MILLIS);
-        assertEquals(Optional.empty(), records.reserved());
+        assertEquals(List.of(), records.reserved());
     }
 
     /** A gang that finds no machines leaves the quota to others after a while. */
@@ -119,21 +115,21 @@
     void turnsEndAndBeginAgain() {
         long beginMillis = NOW_MILLIS - 90_000;
         records.put(gang(1, JobSpec.Priority.NORMAL, 4, 2), beginMillis - 119_000);
-        assertEquals(Optional.of("wk-000001"), records.reserved());
+        assertEquals(List.of("wk-000001"), records.reserved());
         records.put(gang(1, JobSpec.Priority.NORMAL, 4, 2), beginMillis - 121_000);
-        assertEquals(Optional.empty(), records.reserved());
+        assertEquals(List.of(), records.reserved());
         records.put(gang(1, JobSpec.Priority.NORMAL, 4, 2), beginMillis - 149_000);
-        assertEquals(Optional.empty(), records.reserved());
+        assertEquals(List.of(), records.reserved());
         records.put(gang(2, JobSpec.Priority.NORMAL, 4, 2), beginMillis - 10_000);
-        assertEquals(Optional.of("wk-000002"), records.reserved());
+        assertEquals(List.of("wk-000002"), records.reserved());
         records.put(gang(1, JobSpec.Priority.NORMAL, 4, 2), beginMillis - 151_000);
-        assertEquals(Optional.of("wk-000001"), records.reserved());
+        assertEquals(List.of("wk-000001"), records.reserved());
     }
 
     @Test
     void gangThatNeverFitsTheLimitReservesNothing() {
         records.put(gang(1, JobSpec.Priority.NORMAL, 13, 2), LONG_AGO_MILLIS);
-        assertEquals(Optional.empty(), records.reserved());
+        assertEquals(List.of(), records.reserved());
     }
 
     @Test
@@ -142,7 +138,7 @@
         records.put(service, LONG_AGO_MILLIS, 1, "0 i-000001 1;1 i-000001 1;2 i-000002 1;");
         records.put(gang(2, JobSpec.Priority.NORMAL, 11, 2), LONG_AGO_MILLIS);
         records.put(gang(3, JobSpec.Priority.NORMAL, 10, 2), LONG_AGO_MILLIS + 1);
-        assertEquals(Optional.of("wk-000003"), records.reserved());
+        assertEquals(List.of("wk-000003"), records.reserved());
     }
 
     @Test
@@ -151,11 +147,11 @@
         JobSpec second = gang(2, JobSpec.Priority.NORMAL, 2, 2);
         records.put(first, LONG_AGO_MILLIS);
         records.put(second, LONG_AGO_MILLIS + 1);
-        assertEquals(Optional.of("wk-000001"), records.reserved());
+        assertEquals(List.of("wk-000001"), records.reserved());
         records.putCancelled(first, LONG_AGO_MILLIS);
-        assertEquals(Optional.of("wk-000002"), records.reserved());
+        assertEquals(List.of("wk-000002"), records.reserved());
         records.put(second, LONG_AGO_MILLIS + 1, 1, "0 i-000001 1;1 i-000002 1;");
-        assertEquals(Optional.empty(), records.reserved());
+        assertEquals(List.of(), records.reserved());
     }
 
     /** A job submitted with a mistake fails on every machine until its user cancels it. */
@@ -163,14 +159,42 @@
     void gangThatWasStartedOftenInVainReservesNothing() {
         JobSpec gang = gang(1, JobSpec.Priority.NORMAL, 2, 2);
         records.put(gang, LONG_AGO_MILLIS, 2, "");
-        assertEquals(Optional.of("wk-000001"), records.reserved());
+        assertEquals(List.of("wk-000001"), records.reserved());
         records.put(gang, LONG_AGO_MILLIS, 3, "");
-        assertEquals(Optional.empty(), records.reserved());
+        assertEquals(List.of(), records.reserved());
+    }
+
+    @Test
+    void oneGangAndTheFirstTaskOfOneOtherJobAreReservedTogether() {
+        records.put(array(1), LONG_AGO_MILLIS - 10_000);
+        records.put(array(2), LONG_AGO_MILLIS - 9_000);
+        records.put(gang(3, JobSpec.Priority.NORMAL, 11, 2), LONG_AGO_MILLIS - 8_000);
+        records.put(gang(4, JobSpec.Priority.NORMAL, 2, 2), LONG_AGO_MILLIS - 7_000);
+        assertEquals(List.of("wk-000001", "wk-000003"), records.reserved());
+    }
+
+    @Test
+    void whatDoesNotFitTogetherIsReservedOneAfterTheOther() {
+        records.put(gang(1, JobSpec.Priority.NORMAL, 12, 2), LONG_AGO_MILLIS - 10_000);
+        records.put(array(2), LONG_AGO_MILLIS - 9_000);
+        assertEquals(List.of("wk-000001"), records.reserved());
+        records.put(array(3), LONG_AGO_MILLIS - 11_000);
+        assertEquals(List.of("wk-000003"), records.reserved());
+    }
+
+    @Test
+    void arrayOfWhichATaskHasStartedReservesNothing() {
+        records.put(array(1), LONG_AGO_MILLIS, 1, "0 i-000001 1;");
+        assertEquals(List.of(), records.reserved());
+    }
+
+    private static JobSpec array(int number) {
+        return JobFixtures.array(number, "blue", JobSpec.Priority.NORMAL, 5, 2, 10);
     }
 
     @Test
     void teamThatTheSettingsDoNotNameReservesNothing() {
-        assertEquals(Optional.empty(), records.reserved("nobody"));
+        assertEquals(List.of(), records.reserved("nobody"));
     }
 
     @Test
@@ -185,7 +209,7 @@
             records.put(gangs.get(i), LONG_AGO_MILLIS);
             other.put(gangs.get(gangs.size() - 1 - i), LONG_AGO_MILLIS);
         }
-        assertEquals(Optional.of("wk-000001"), records.reserved());
+        assertEquals(List.of("wk-000001"), records.reserved());
         assertEquals(records.reserved(), other.reserved());
     }
 }
--- a/src/test/java/io/quincelead/leadership/ReservedQuotaTest.java
+++ b/src/test/java/io/quincelead/leadership/ReservedQuotaTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -38,6 +39,21 @@
         return list.stream().mapToDouble(x -> x).toArray();
     }
 
+    /** A split in which any amount is of use. */
+    private static double[] split(
+            double[] shares,
+            double[] used,
+            double[][] wanted,
+            QuotaShares.Reservation reservation) {
+        List<QuotaShares.MemberQuota> members = new ArrayList<>();
+        for (int i = 0; i < MEMBERS; i++) {
+            members.add(
+                    new QuotaShares.MemberQuota(
+                            shares[i], used[i], wanted[i], new double[wanted[i].length]));
+        }
+        return QuotaShares.split(LIMIT, 0, members, reservation, false);
+    }
+
     private static double[][] wanted(double[] urgent, double[] normal) {
         double[][] wanted = new double[urgent.length][];
         for (int i = 0; i < urgent.length; i++) {
@@ -56,36 +72,32 @@
             @ForAll @IntRange(max = MEMBERS - 1) int member,
             @ForAll @IntRange(max = NORMAL) int priority) {
         double[] nextShares =
-                QuotaShares.split(
-                        LIMIT,
-                        0,
+                split(
                         array(shares),
                         array(used),
                         wanted(array(urgent), array(normal)),
-                        new QuotaShares.Reservation(member, need, priority),
-                        false);
+                        reservation(member, need, priority));
         assertTrue(
                 committed(nextShares, array(used))
                         <= Math.max(LIMIT, committed(array(shares), array(used))) + 1e-6);
         assertTrue(Arrays.stream(nextShares).allMatch(share -> share >= 0));
     }
 
+    /** A gang that has its whole quota takes nothing from what runs elsewhere. */
     @Property(tries = 500, seed = "22")
-    void withoutReservationNothingChanges(
-            @ForAll @Size(MEMBERS) List<@DoubleRange(max = 20) Double> shares,
-            @ForAll @Size(MEMBERS) List<@DoubleRange(max = 20) Double> used,
-            @ForAll @Size(MEMBERS) List<@DoubleRange(max = 60) Double> normal) {
-        double[][] wanted = wanted(new double[MEMBERS], array(normal));
-        assertArrayEquals(
-                QuotaShares.split(LIMIT, 0, array(shares), array(used), wanted, false),
-                QuotaShares.split(
-                        LIMIT,
-                        0,
-                        array(shares),
-                        array(used),
-                        wanted,
-                        QuotaShares.Reservation.NONE,
-                        false));
+    void reservationThatIsMetLeavesOthersTheirUse(
+            @ForAll @Size(MEMBERS) List<@DoubleRange(max = 6) Double> used,
+            @ForAll @DoubleRange(max = 6) double need,
+            @ForAll @IntRange(max = MEMBERS - 1) int member) {
+        double[] usedArray = array(used);
+        double[] shares = usedArray.clone();
+        shares[member] += need;
+        double[][] wanted = wanted(new double[MEMBERS], new double[] {100, 100, 100});
+        double[] nextShares = split(shares, usedArray, wanted, reservation(member, need));
+        for (int i = 0; i < MEMBERS; i++) {
+            assertTrue(nextShares[i] >= usedArray[i] - 1e-9, Arrays.toString(nextShares));
+        }
+        assertTrue(nextShares[member] >= shares[member] - 1e-9, Arrays.toString(nextShares));
     }
 
     /** Gangs once waited for ever beside arrays that took each CPU as it came free. */
@@ -93,7 +105,7 @@
     void arraysThatRefillGiveUpOnlyWhatTheGangLacks() {
         double[] used = {12, 12, 0};
         double[][] wanted = wanted(new double[MEMBERS], new double[] {100, 100, 0});
-        double[] shares = QuotaShares.split(LIMIT, 0, used, used, wanted, reservation(2, 8), false);
+        double[] shares = split(used, used, wanted, reservation(2, 8));
         assertArrayEquals(new double[] {4, 4, 0}, shares, 1e-9);
     }
 
@@ -102,14 +114,19 @@
         double[] shares = {4, 4, 0};
         double[] used = {10, 6, 0};
         double[][] wanted = wanted(new double[] {0, 5, 0}, new double[] {100, 100, 0});
-        double[] nextShares =
-                QuotaShares.split(LIMIT, 0, shares, used, wanted, reservation(2, 8), false);
+        double[] nextShares = split(shares, used, wanted, reservation(2, 8));
         assertEquals(11, nextShares[1], 1e-9);
         assertEquals(3, nextShares[2], 1e-9);
     }
 
     private static QuotaShares.Reservation reservation(int member, double need) {
-        return new QuotaShares.Reservation(member, need, NORMAL);
+        return reservation(member, need, NORMAL);
+    }
+
+    private static QuotaShares.Reservation reservation(int member, double need, int priority) {
+        double[] amounts = new double[MEMBERS];
+        amounts[member] = need;
+        return new QuotaShares.Reservation(amounts, priority);
     }
 
     /** A small service: each member's array refills its share, and gangs wait at two members. */
@@ -154,8 +171,8 @@
             QuotaShares.Reservation reservation =
                     gangWaits()
                             ? reservation(gangMembers[startedGangs], gangNeeds[startedGangs])
-                            : QuotaShares.Reservation.NONE;
-            double[] next = QuotaShares.split(LIMIT, 0, shares, used, wanted, reservation, false);
+                            : QuotaShares.Reservation.none(MEMBERS);
+            double[] next = ReservedQuotaTest.split(shares, used, wanted, reservation);
             System.arraycopy(next, 0, shares, 0, MEMBERS);
         }
 
@@ -219,11 +236,10 @@
         double[][] wanted = wanted(new double[MEMBERS], new double[] {200, 200, 200});
         double need = 1 + random.nextInt(20);
         int member = random.nextInt(MEMBERS);
-        shares =
-                QuotaShares.split(LIMIT, 0, shares, used, wanted, reservation(member, need), false);
+        shares = split(shares, used, wanted, reservation(member, need));
         used = new double[] {4, 2, 6};
         for (int split = 0; split < MAX_SPLITS; split++) {
-            shares = QuotaShares.split(LIMIT, 0, shares, used, wanted, false);
+            shares = split(shares, used, wanted, QuotaShares.Reservation.none(MEMBERS));
             for (int i = 0; i < MEMBERS; i++) {
                 used[i] += Math.max(0, Math.floor(shares[i] - used[i] + 1e-9));
             }
--- a/src/test/java/io/quincelead/simulation/GoldenMessagesTest.java
+++ b/src/test/java/io/quincelead/simulation/GoldenMessagesTest.java
@@ -26,7 +26,7 @@
  */
 class GoldenMessagesTest {
     /** Seeds whose histories together show every form that the tables have ever shown. */
-    private static final long[] SEEDS = {4700, 4701, 4704, 4718, 4723};
+    private static final long[] SEEDS = {4701, 4704, 4707, 4717, 4734, 4749};
 
     private static Map<String, GoldenTable.Row> messages;
     private static Map<String, GoldenTable.Row> records;
--- a/src/test/java/io/quincelead/simulation/SchedulingScenarioTest.java
+++ b/src/test/java/io/quincelead/simulation/SchedulingScenarioTest.java
@@ -373,6 +373,52 @@
         }
     }
 
+    /** CPUs in use by a team's tasks that are on machines. */
+    private static double usedCpus(SimulatedCluster cluster, String team) {
+        double cpus = 0;
+        for (SimulatedWorker worker : cluster.cloud.machines.values()) {
+            for (SimulatedWorker.SimulatedTask task : worker.tasks.values()) {
+                JobSpec job = cluster.jobOfTask(task.name);
+                cpus += !task.hasEnded() && job.team().equals(team) ? job.cpus() : 0;
+            }
+        }
+        return cpus;
+    }
+
+    /**
+     * A small job once waited for minutes where its controller's quota share was less than one
+     * task, and what shares left over of whole tasks idled.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void smallJobsOfTeamAtItsLimitBeginBesideArraysThatRefill(long seed) {
+        SimulatedCluster cluster =
+                new SimulatedCluster(
+                        seed, List.of(SimulatedCloud.MachineType.small(5, List.of("a", "b"), 20)));
+        cluster.setTeam("blue", 8, 24);
+        cluster.cloud.addRunningMachines("small", "a", 5);
+        cluster.start();
+        JobSpec.Priority priority = JobSpec.Priority.NORMAL;
+        cluster.submitAfter(8_000, JobFixtures.array(1, "blue", priority, 500, 3, 10), 1);
+        cluster.submitAfter(8_000, JobFixtures.array(2, "blue", priority, 500, 3, 10), 2);
+        cluster.submitAfter(25_000, JobFixtures.array(3, "blue", priority, 1, 2, 10), 0);
+        cluster.submitAfter(25_000, JobFixtures.array(4, "blue", priority, 3, 5, 10), 0);
+        double[] cpuSeconds = {0};
+        for (int second = 40; second < 300; second++) {
+            cluster.after(second * 1_000L, () -> cpuSeconds[0] += usedCpus(cluster, "blue"));
+        }
+        cluster.runUntil(300_000);
+        assertNoViolations(cluster);
+        for (String id : List.of("wk-000003", "wk-000004")) {
+            long delayMillis = cluster.serviceLevels().firstStartDelayMillis(id);
+            assertTrue(
+                    delayMillis >= 0 && delayMillis < 120_000,
+                    id + " after " + delayMillis + " ms");
+        }
+        double meanCpus = cpuSeconds[0] / 260;
+        assertTrue(meanCpus > 24 - 3, "CPUs in use: " + meanCpus);
+    }
+
     /** The leader once refilled the machines that other controllers drained for overdue jobs. */
     @ParameterizedTest
     @ValueSource(longs = {88, 97, 116, 118, 120, 125})
