--- a/src/main/java/io/quincelead/config/constants/AutoscalerConstants.java
+++ b/src/main/java/io/quincelead/config/constants/AutoscalerConstants.java
@@ -1,9 +1,6 @@
 package io.quincelead.config.constants;
 
-/**
- * Fixed numbers of scaling out and in, and of the cloud client. The unit ends each name; each
- * comment states the reason for the value.
- */
+/** Scaling out and in, and the cloud client. The unit ends each name. */
 public final class AutoscalerConstants {
     /** Protocol limit on the machines of one provisioning request; they share one record. */
     public static final int MAX_MACHINES_PER_PROVISIONING_REQUEST = 50;
@@ -11,7 +8,7 @@
     /** Protocol limit on the machine names in one release request. */
     public static final int MAX_MACHINES_PER_RELEASE_REQUEST = 100;
 
-    /** Timeout of a cloud request. Responses take about 250 ms; provisioning may take longer. */
+    /** Timeout of a cloud request. */
     public static final long CLOUD_REQUEST_TIMEOUT_MILLIS = 5_000;
 
     /** Interval at which scaling out and in is decided. */
@@ -26,13 +23,13 @@
     /** Longest such backoff. */
     public static final long NO_CAPACITY_BACKOFF_MAX_MILLIS = 45_000;
 
-    /** Time a machine is expected to stay: spreads the cost of its start over its work. */
+    /** Time over which the cost of a machine's start is spread. */
     public static final double EXPECTED_STAY_SECONDS = 300;
 
-    /** Short averaging window of the arriving work: notices when a load has ended. */
+    /** Short averaging window of the arriving work. */
     public static final double SHORT_LOAD_WINDOW_SECONDS = 60;
 
-    /** Long averaging window of the arriving work: one large job doesn't look like a load. */
+    /** Long averaging window of the arriving work. */
     public static final double LONG_LOAD_WINDOW_SECONDS = 180;
 
     /** Shortest observation that says anything about a rate. */
@@ -44,18 +41,13 @@
      */
     public static final double COSTLY_MISSING_CAPACITY_FRACTION = 0.08;
 
-    /**
-     * Factor on the work of the usual load: boots, image fetches and gaps between tasks take their
-     * part.
-     */
+    /** Factor on the work of the usual load, for boots, fetches and gaps between tasks. */
     public static final double USUAL_LOAD_MARGIN_FACTOR = 1.1;
 
-    /** Time after which a machine rented now typically helps. */
+    /** Time after which a machine rented now counts as helping. */
     public static final double TYPICAL_BOOT_SECONDS = 25;
 
-    /**
-     * Work due sooner than this is counted as due then: no machine rented now can help it earlier.
-     */
+    /** Work due sooner than this is counted as due then. */
     public static final double SOONEST_HELP_SECONDS = 70;
 
     /**
@@ -64,56 +56,34 @@
      */
     public static final double SPOT_WAITING_CPUS_FRACTION = 0.6;
 
-    /**
-     * Time within which work that is overdue already should be done: more haste no longer helps it.
-     */
+    /** Time within which work that is overdue already should be done. */
     public static final double OVERDUE_DRAIN_SECONDS = 90;
 
-    /**
-     * Fraction of the waiting CPUs that counts as open load: most of a burst waits only until
-     * capacity becomes free.
-     */
+    /** Fraction of the waiting CPUs that counts as open load. */
     public static final double OPEN_LOAD_WAITING_FRACTION = 1.0;
 
     /** With nothing waiting, no machine is rented for a smaller usual load, in CPUs, than this. */
     public static final double MIN_SPOT_LOAD_CPUS = 4;
 
-    /**
-     * CPUs in use up to which the reserve is the operators' fraction of them; beyond, it grows with
-     * the square root only, as the fluctuations of many independent jobs do.
-     */
+    /** CPUs in use up to which the reserve grows with them; beyond, with their square root. */
     public static final double LINEAR_RESERVE_MAX_CPUS = 200;
 
-    /**
-     * Records of machines cordoned or uncordoned in one write, if the controller's write share
-     * allows it.
-     */
+    /** Records of machines cordoned or uncordoned in one write. */
     public static final int MAX_CORDON_RECORDS_PER_WRITE = 10;
 
-    /**
-     * A machine is cordoned only if its CPUs multiplied by this are spare, so that it isn't
-     * uncordoned at once.
-     */
+    /** A machine is cordoned only if its CPUs multiplied by this are spare. */
     public static final double CORDON_SPARE_FACTOR = 1.3;
 
-    /**
-     * Size, in CPUs, at which a costly machine is counted at twice its price, for the time it takes
-     * to drain.
-     */
+    /** Size, in CPUs, at which a costly machine is counted at twice its price. */
     public static final double SLOW_DRAIN_MACHINE_CPUS = 40;
 
-    /**
-     * Of a larger machine only this many CPUs must be spare to cordon it: its tasks leave one by
-     * one, so its capacity goes slowly.
-     */
+    /** Of a larger machine only this many CPUs must be spare to cordon it. */
     public static final double MAX_CORDON_SPARE_CPUS = 24;
 
     /** A machine is not cordoned before it has been paid for this long. */
     public static final double MIN_RENTED_BEFORE_CORDON_SECONDS = 50;
 
-    /**
-     * Provisioning requests whose outcome is open at one time: the cloud takes few calls a second.
-     */
+    /** Provisioning requests whose outcome is open at one time. */
     public static final int MAX_OPEN_PROVISIONING_REQUESTS = 6;
 
     /** Interval at which machines marked for release are released. */
@@ -125,10 +95,7 @@
     /** Interval at which the cloud's machine list is read, to find unexpected machines. */
     public static final long INVENTORY_INTERVAL_MILLIS = 10_000;
 
-    /**
-     * A new leader trusts the list on unexpected machines after this many list lags: what its
-     * predecessor released is gone from it by then.
-     */
+    /** List lags after which a new leader trusts the list on unexpected machines. */
     public static final double TRUST_UNEXPECTED_AFTER_LIST_LAGS = 4;
 
     /** Interval at which the current prices are read. */
--- a/src/main/java/io/quincelead/config/constants/LeadershipConstants.java
+++ b/src/main/java/io/quincelead/config/constants/LeadershipConstants.java
@@ -1,9 +1,6 @@
 package io.quincelead.config.constants;
 
-/**
- * Fixed numbers of the leader's work: shards, quota shares, job reassignment. The unit ends each
- * name; each comment states the reason for the value.
- */
+/** The leader's work: shards, quota shares, job reassignment. The unit ends each name. */
 public final class LeadershipConstants {
     /** Interval of the leader's periodic work: shard assignment, quota shares, job reassignment. */
     public static final long LEADER_INTERVAL_MILLIS = 250;
@@ -11,10 +8,7 @@
     /** Machines that come up within this time are assigned to shards in one write. */
     public static final long SHARD_ASSIGNMENT_BATCH_MILLIS = 30;
 
-    /**
-     * Unexpected machines whose heartbeats arrive within this time are registered together, on
-     * shared records; the cloud's list shows most of them first.
-     */
+    /** Unexpected machines whose heartbeats arrive within this time are registered together. */
     public static final long UNEXPECTED_MACHINE_BATCH_MILLIS = 4_000;
 
     /** How long a controller must be up before machines are moved to it to balance the shards. */
@@ -23,13 +17,10 @@
     /** Machines moved to balance the shards in one write, at least. */
     public static final int MIN_REBALANCE_MACHINES = 3;
 
-    /**
-     * Fraction of the largest shard moved in one write: each write costs two shard records and a
-     * fencing token.
-     */
+    /** Fraction of the largest shard moved in one write. */
     public static final double REBALANCE_MACHINES_FRACTION = 0.15;
 
-    /** Minimum time between two such writes: meanwhile the new owner claims the moved machines. */
+    /** Minimum time between two such writes. */
     public static final long REBALANCE_INTERVAL_MILLIS = 1_500;
 
     /**
@@ -41,16 +32,10 @@
     /** Smallest change of a quota share, in CPUs or GPUs, that is worth a write. */
     public static final double MIN_QUOTA_SHARE_CHANGE_UNITS = 0.25;
 
-    /**
-     * Interval at which quota shares are distributed: each change rewrites shards, and every
-     * scheduling cycle in flight fails on it.
-     */
+    /** Interval at which quota shares are distributed. */
     public static final long QUOTA_SHARES_INTERVAL_MILLIS = 750;
 
-    /**
-     * Fraction of a team's limit: the share of a controller that has this much of it left isn't
-     * changed by a little.
-     */
+    /** Fraction of a team's limit: a share with this much left isn't changed by less. */
     public static final double QUOTA_SHARE_TOLERANCE_FRACTION = 0.03;
 
     private LeadershipConstants() {}
--- a/src/main/java/io/quincelead/config/constants/PeerConstants.java
+++ b/src/main/java/io/quincelead/config/constants/PeerConstants.java
@@ -1,9 +1,6 @@
 package io.quincelead.config.constants;
 
-/**
- * Fixed numbers of messages between controllers. The unit ends each name; each comment states the
- * reason for the value.
- */
+/** Messages between controllers. The unit ends each name. */
 public final class PeerConstants {
     /**
      * How long a peer's status of its machines is valid; without one the leader leaves that shard
--- a/src/main/java/io/quincelead/config/constants/PolicyConstants.java
+++ b/src/main/java/io/quincelead/config/constants/PolicyConstants.java
@@ -1,9 +1,6 @@
 package io.quincelead.config.constants;
 
-/**
- * Fixed numbers of the operators' priority classes and calendar. The unit ends each name; each
- * comment states the reason for the value.
- */
+/** The operators' priority classes and calendar. The unit ends each name. */
 public final class PolicyConstants {
     /** Priority classes that operators may define. */
     public static final int MAX_CLASSES = 128;
@@ -11,16 +8,10 @@
     /** Largest rank of a class. */
     public static final int MAX_RANK = 1_000;
 
-    /**
-     * Rank of a job that no class matches: in the middle, so that classes can be set before and
-     * behind the rest.
-     */
+    /** Rank of a job that no class matches. */
     public static final int DEFAULT_RANK = 500;
 
-    /**
-     * Time within which a job should begin unless its class says otherwise: the users want every
-     * job begun within four minutes.
-     */
+    /** Time within which a job should begin unless its class says otherwise. */
     public static final double DEFAULT_BEGIN_WITHIN_SECONDS = 240;
 
     /** Longest time that a class may let its jobs wait. */
@@ -29,16 +20,10 @@
     /** Fraction of a job's tasks that should have begun by then. */
     public static final double DEFAULT_MIN_BEGUN_FRACTION = 0.5;
 
-    /**
-     * Characters of the classes' text in one record; escaped, they still fit the 8 KiB limit of a
-     * value.
-     */
+    /** Characters of the classes' text in one record; escaped, they must fit 8 KiB. */
     public static final int MAX_CLASSES_PART_CHARS = 3_500;
 
-    /**
-     * Records of one generation of classes: with the head record they fit one transaction of 12
-     * operations.
-     */
+    /** Records of one generation of classes; they share a transaction with the head record. */
     public static final int MAX_CLASSES_PARTS = 10;
 
     /** Generations of classes kept on record, to go back to. */
@@ -74,10 +59,7 @@
     /** How far a new leader looks back for occurrences that passed while there was no leader. */
     public static final long LOOK_BACK_MILLIS = 86_400_000;
 
-    /**
-     * Time after the publication at which the verdict is given: jobs accepted before it are in
-     * every watch cache by then, clock error included.
-     */
+    /** Time after the publication at which the verdict is given. */
     public static final long VERDICT_DELAY_MILLIS = 3_000;
 
     /**
@@ -86,7 +68,7 @@
      */
     public static final long OCCURRENCE_CLOSE_DELAY_MILLIS = 3_600_000;
 
-    /** Unfinished covered jobs named in an occurrence's record: 400 names take 4 KiB. */
+    /** Unfinished covered jobs named in an occurrence's record. */
     public static final int MAX_COVERED_OPEN_JOBS = 400;
 
     /** Final states that are read at one time for the count. */
--- a/src/main/java/io/quincelead/config/constants/SchedulerConstants.java
+++ b/src/main/java/io/quincelead/config/constants/SchedulerConstants.java
@@ -1,42 +1,23 @@
 package io.quincelead.config.constants;
 
-/**
- * Fixed numbers of the scheduling cycle, its queue and its preemption. The unit ends each name;
- * each comment states the reason for the value.
- */
+/** The scheduling cycle, its queue and its preemption. The unit ends each name. */
 public final class SchedulerConstants {
-    /**
-     * Minimum time between two scheduling cycles: batches what arrives together into one durable
-     * write.
-     */
+    /** Minimum time between two scheduling cycles. */
     public static final long MIN_CYCLE_INTERVAL_MILLIS = 60;
 
-    /**
-     * The same under full backpressure: several changes of a record then share one write, which
-     * every controller reads once, and a cycle's own cost is paid less often.
-     */
+    /** The same under full backpressure. */
     public static final long THROTTLED_CYCLE_INTERVAL_MILLIS = 200;
 
-    /**
-     * How long completions that nobody waits for are batched: most tasks of a job complete at about
-     * the same time, and each record written costs the store a change and every controller a read.
-     */
+    /** How long completions that nobody waits for are batched. */
     public static final long COMPLETION_BATCH_MILLIS = 2_000;
 
-    /**
-     * The same under full backpressure: fewer, fuller records leave writes for what users wait for.
-     */
+    /** The same under full backpressure. */
     public static final long THROTTLED_COMPLETION_BATCH_MILLIS = 12_000;
 
-    /**
-     * How often best-effort work is placed under full backpressure: free capacity accumulates
-     * meanwhile.
-     */
+    /** How often best-effort work is placed under full backpressure. */
     public static final long THROTTLED_BEST_EFFORT_INTERVAL_MILLIS = 2_500;
 
-    /**
-     * Backpressure (0 to 1) from which fewer writes count for more than the work they would save.
-     */
+    /** Backpressure (0 to 1) from which saving writes comes before saving work. */
     public static final double BACKPRESSURE_THRESHOLD_FRACTION = 0.5;
 
     /** How long completions that another controller waits for are batched. */
@@ -48,16 +29,10 @@
      */
     public static final long ESCALATE_AFTER_MILLIS = 700;
 
-    /**
-     * Minimum time between two checks whether other shards have free capacity for jobs that wait
-     * here: a check visits every machine.
-     */
+    /** Minimum time between two checks of other shards for free capacity; each visits every machine. */
     public static final long OTHER_SHARDS_CHECK_INTERVAL_MILLIS = 400;
 
-    /**
-     * A gang that its team's quota share here has kept waiting this long is escalated to the
-     * leader; quota shares move every 0.75 s.
-     */
+    /** How long a gang that lacks quota waits before it is escalated to the leader. */
     public static final long ESCALATE_GANG_AFTER_MILLIS = 2_000;
 
     /**
@@ -66,38 +41,22 @@
      */
     public static final int MIN_ESCALATED_TASKS = 8;
 
-    /**
-     * A job is also escalated if one machine of another shard has had free capacity for one of its
-     * tasks at every check for this long: that shard's owner has no use for it.
-     */
+    /** How long one machine of another shard must have had free capacity for a job to be escalated. */
     public static final long ESCALATE_TO_LASTING_CAPACITY_AFTER_MILLIS = 10_000;
 
-    /**
-     * How long lower priorities leave free capacity to the leader's work of higher priority; by
-     * then the leader would have used it.
-     */
+    /** How long lower priorities leave free capacity to the leader's work of higher priority. */
     public static final long LEADER_PRECEDENCE_MILLIS = 3_000;
 
     /** Interval of scheduling cycles for waiting work when nothing was received. */
     public static final long IDLE_CYCLE_INTERVAL_MILLIS = 500;
 
-    /**
-     * A scheduling cycle waits until it may write this many changes, so that few large ones are
-     * written instead of many small ones.
-     */
+    /** A scheduling cycle waits until it may write this many changes. */
     public static final int MIN_CHANGES_PER_CYCLE = 3;
 
-    /**
-     * A task with checkpoints is moved off a cordoned machine only after it has run this long:
-     * starts count after 30 s.
-     */
+    /** How long a task with checkpoints runs before it is moved off a cordoned machine; starts count after 30 s. */
     public static final long MIN_RUN_BEFORE_MOVE_MILLIS = 32_000;
 
-    /**
-     * Fraction of the time within which a job should have begun from which its first tasks come
-     * before other teams' surplus: up to a quarter of that time may have passed before it was
-     * accepted.
-     */
+    /** Fraction of the time within which a job should have begun from which its first tasks come before other teams' surplus. */
     public static final double OVERDUE_RAMP_START_FRACTION = 0.375;
 
     /** Attempts after which a job's team no longer reserves quota for it: it may never succeed. */
@@ -120,10 +79,7 @@
      */
     public static final double LONG_WAIT_SECONDS = 90;
 
-    /**
-     * So may work of which nothing found a placement for this long, whatever its age: users
-     * tolerate 90 s while a machine has free capacity.
-     */
+    /** How long nothing of a job has found a placement before it may use machines left to others. */
     public static final long STARVING_AFTER_MILLIS = 60_000;
 
     /**
@@ -153,19 +109,13 @@
     /** Number of machines that may be left to drain however few there are. */
     public static final int MIN_DRAIN_RESERVE_MACHINES = 2;
 
-    /**
-     * How long machines that constrained work (GPUs, machine types, zones, services, no spot
-     * machines) asked for are kept for more of it.
-     */
+    /** How long machines that constrained work asked for are kept for more of it. */
     public static final long CONSTRAINED_DEMAND_RETENTION_MILLIS = 300_000;
 
     /** Constrained demands remembered: each is matched with each machine. */
     public static final int MAX_CONSTRAINED_DEMANDS = 40;
 
-    /**
-     * Machines are ranked for a service as if it ran this long: of equal machines, the one that
-     * starts it soonest is best.
-     */
+    /** Run time for which machines are ranked for a service. */
     public static final double SERVICE_RANKING_RUNTIME_SECONDS = 30;
 
     /**
@@ -177,7 +127,7 @@
     /** Window over which that rate is measured. */
     public static final double CONSTRAINED_RATE_WINDOW_SECONDS = 45;
 
-    /** Factor on estimated run times: they are often wrong by half. */
+    /** Factor on estimated run times. */
     public static final double ESTIMATE_MARGIN_FACTOR = 1.3;
 
     /**
@@ -185,10 +135,7 @@
      */
     public static final double UNSTATED_DEADLINE_SLACK_SECONDS = 300;
 
-    /**
-     * A task expected to complete within this time is not preempted: its capacity becomes free by
-     * itself.
-     */
+    /** A task expected to complete within this time is not preempted. */
     public static final double NEARLY_DONE_SECONDS = 5;
 
     /** Jobs named in an explanation as being ahead in the queue. */
--- a/src/main/java/io/quincelead/config/constants/StoreConstants.java
+++ b/src/main/java/io/quincelead/config/constants/StoreConstants.java
@@ -1,9 +1,6 @@
 package io.quincelead.config.constants;
 
-/**
- * Fixed numbers of the store client, the watch cache and the group commit. The unit ends each name;
- * each comment states the reason for the value.
- */
+/** The store client, the watch cache and the group commit. The unit ends each name. */
 public final class StoreConstants {
     /** Protocol limit on the preconditions of a transaction for each of its operations. */
     public static final int MAX_PRECONDITIONS_PER_OPERATION = 4;
@@ -11,7 +8,7 @@
     /** Items requested in one page of a store listing (protocol limit: 1,000). */
     public static final int MAX_ITEMS_PER_LIST_PAGE = 500;
 
-    /** Timeout of a store request. Responses usually take 10 ms and at times a few hundred. */
+    /** Timeout of a store request. */
     public static final long REQUEST_TIMEOUT_MILLIS = 1500;
 
     /** How long the store keeps a watch request open when nothing changes. */
@@ -37,10 +34,7 @@
      */
     public static final double WATCH_REQUESTS_FRACTION = 0.36;
 
-    /**
-     * Minimum time between two watch requests: changes arrive in batches, and each request costs a
-     * turn of the event loop.
-     */
+    /** Minimum time between two watch requests. */
     public static final long MIN_WATCH_INTERVAL_MILLIS = 80;
 
     /**
@@ -68,10 +62,7 @@
     /** Submissions and cancellations that may wait to be committed. */
     public static final int MAX_WAITING_COMMITS = 150;
 
-    /**
-     * Fraction of its share of the store's limits that a controller plans with, so that it stays a
-     * little below what the store allows.
-     */
+    /** Fraction of its share of the store's limits that a controller plans with. */
     public static final double PLANNED_RATE_FRACTION = 0.95;
 
     /** Seconds of its request rate that a controller may send at once. */
--- a/src/main/java/io/quincelead/config/constants/TransportConstants.java
+++ b/src/main/java/io/quincelead/config/constants/TransportConstants.java
@@ -1,23 +1,14 @@
 package io.quincelead.config.constants;
 
-/**
- * Fixed numbers of connections, HTTP requests and calls inside the cluster. The unit ends each
- * name; each comment states the reason for the value.
- */
+/** Connections, HTTP requests and calls inside the cluster. The unit ends each name. */
 public final class TransportConstants {
     /** Protocol limit, in bytes, of a request body and of a response to workers and users. */
     public static final int MAX_BODY_BYTES = 64 * 1024;
 
-    /**
-     * Largest response, in bytes, accepted from another service: enough for the largest responses
-     * of the store, which are 512 KiB of listed items or an unbounded watch response.
-     */
+    /** Largest response, in bytes, accepted from another service. */
     public static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
-    /**
-     * Timeout of a direct call to a worker or a peer: both are small and inside the cluster's
-     * network.
-     */
+    /** Timeout of a direct call to a worker or a peer. */
     public static final long CLUSTER_CALL_TIMEOUT_MILLIS = 1_500;
 
     /** Idle or half-open inbound connections are closed after this time. */
@@ -52,11 +43,7 @@
     /** Fraction of the connection limit for direct calls to workers. */
     public static final double WORKER_CALLS_CONNECTION_FRACTION = 0.1;
 
-    /**
-     * Fraction of the connections that users and workers may have; beyond, workers' connections are
-     * closed after each response, so that a controller left alone with more workers than
-     * connections still has some for users and for the platform's probe.
-     */
+    /** Fraction of the connections that users and workers may have before workers' are closed after each response. */
     public static final double CROWDED_CONNECTION_FRACTION = 0.75;
 
     private TransportConstants() {}
--- a/src/main/java/io/quincelead/config/constants/WorkerConstants.java
+++ b/src/main/java/io/quincelead/config/constants/WorkerConstants.java
@@ -1,9 +1,6 @@
 package io.quincelead.config.constants;
 
-/**
- * Fixed numbers of heartbeats, commands to workers and failure detection. The unit ends each name;
- * each comment states the reason for the value.
- */
+/** Heartbeats, commands to workers and failure detection. The unit ends each name. */
 public final class WorkerConstants {
     /**
      * Longest time a heartbeat response waits for the scheduling cycle that the heartbeat's
@@ -44,16 +41,10 @@
      */
     public static final double HEARD_WITHIN_HEARTBEATS = 2.5;
 
-    /**
-     * A machine that has sent heartbeats to the wrong controller for this long is reassigned: its
-     * owner is unreachable.
-     */
+    /** A machine that has sent heartbeats to the wrong controller for this long is reassigned. */
     public static final long REASSIGN_MISROUTED_AFTER_MILLIS = 2_500;
 
-    /**
-     * Consecutive failures of one job, all on the same machine, after which that machine is
-     * declared lost though nothing else failed there.
-     */
+    /** Consecutive failures of one job on one machine after which that machine is declared lost. */
     public static final int SINGLE_JOB_FAILURES_BEFORE_DECLARED_LOST = 8;
 
     /**
@@ -62,16 +53,10 @@
      */
     public static final int MAX_MISROUTED_SERIAL_ADVANCE_HEARTBEATS = 3;
 
-    /**
-     * Time between two probes of a machine without heartbeats: rare enough for hundreds of them,
-     * each of which may cost a hanging connection.
-     */
+    /** Time between two probes of a machine without heartbeats. */
     public static final long SILENT_WORKER_PROBE_INTERVAL_MILLIS = 4_000;
 
-    /**
-     * Consecutive heartbeats without what earlier responses started, after which a machine is
-     * considered unreachable inbound: one response may be late or lost, more are no accident.
-     */
+    /** Consecutive heartbeats without what earlier responses started, after which a machine is considered unreachable inbound. */
     public static final int UNREACHABLE_INBOUND_AFTER_HEARTBEATS = 2;
 
     /** Consecutive failures, without a success between, that make a machine suspect. */
@@ -104,19 +89,13 @@
      */
     public static final double DEFER_IDLE_HEARTBEAT_FRACTION = 0.9;
 
-    /**
-     * The same for a machine with tasks about to complete: its next heartbeat, which may report a
-     * completion, waits for the response.
-     */
+    /** The same for a machine with tasks about to complete. */
     public static final double DEFER_BUSY_HEARTBEAT_FRACTION = 0.3;
 
     /** Longest time a response is deferred: workers drop responses after 4 s. */
     public static final long MAX_DEFERRED_RESPONSE_MILLIS = 3_300;
 
-    /**
-     * Deferred responses that fall due within the same span of this length are sent together, in
-     * one turn of the event loop.
-     */
+    /** Deferred responses due within one span of this length are sent together. */
     public static final long DEFERRED_RESPONSE_BATCH_MILLIS = 50;
 
     /** A booting machine is declared lost after its nominal boot time multiplied by this. */
--- a/src/main/java/io/quincelead/config/constants/ZoneConstants.java
+++ b/src/main/java/io/quincelead/config/constants/ZoneConstants.java
@@ -1,9 +1,6 @@
 package io.quincelead.config.constants;
 
-/**
- * Fixed numbers of the evaluation and recovery of zones. The unit ends each name; each comment
- * states the reason for the value.
- */
+/** Evaluation and recovery of zones. The unit ends each name. */
 public final class ZoneConstants {
     /** Number of a zone's machines below which nothing is concluded about the zone. */
     public static final int MIN_EVALUATED_MACHINES = 2;
--- a/src/main/java/io/quincelead/config/constants/package-info.java
+++ b/src/main/java/io/quincelead/config/constants/package-info.java
@@ -1,6 +1,5 @@
 /**
- * Every fixed number of the service, one class for each concern, each with its unit in its name and
- * the reason for its value in its comment.
+ * Every fixed number of the service, one class for each concern, each with its unit in its name.
  *
  * <p>Owned state: none. Numbers that an operator may want to change belong in {@link
  * io.quincelead.config.OperatorSettings}, numbers that the platform provides in {@link
