--- a/src/main/java/io/quincelead/cli/ControllerClient.java
+++ b/src/main/java/io/quincelead/cli/ControllerClient.java
@@ -112,7 +112,10 @@
             return response.get(
                     addresses.size() * 2 * CliConstants.OPERATOR_COMMAND_TIMEOUT_MILLIS,
                     TimeUnit.MILLISECONDS);
-        } catch (InterruptedException | ExecutionException | TimeoutException e) {
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return null;
+        } catch (ExecutionException | TimeoutException e) {
             return null;
         } finally {
             worker.shutdownNow();
--- a/src/test/java/io/quincelead/simulation/StarvationChecker.java
+++ b/src/test/java/io/quincelead/simulation/StarvationChecker.java
@@ -2,6 +2,7 @@
 
 import io.quincelead.cluster.JobSpec;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
@@ -30,7 +31,8 @@
     /**
      * When each task that has ended or gone was last there; its place may be on its way to another.
      */
-    private final Map<SimulatedWorker.SimulatedTask, TaskSighting> lastSightings = new HashMap<>();
+    private final Map<SimulatedWorker.SimulatedTask, TaskSighting> lastSightings =
+            new LinkedHashMap<>();
 
     private record TaskSighting(SimulatedWorker worker, JobSpec job, long atMillis) {}
 
