--- a/src/main/java/io/quincelead/config/constants/LeaseConstants.java
+++ b/src/main/java/io/quincelead/config/constants/LeaseConstants.java
@@ -14,7 +14,10 @@
     /** Renewals sent during one lease time. */
     public static final int RENEWALS_PER_LEASE = 4;
 
-    /** How much earlier than the store, which may be 100 ms late, a controller regards its lease as expired. */
+    /**
+     * How much earlier than the store, which may be 100 ms late, a controller regards its lease as
+     * expired.
+     */
     public static final long EXPIRY_MARGIN_MILLIS = 150;
 
     private LeaseConstants() {}
--- a/src/main/java/io/quincelead/config/constants/SchedulerConstants.java
+++ b/src/main/java/io/quincelead/config/constants/SchedulerConstants.java
@@ -29,7 +29,9 @@
      */
     public static final long ESCALATE_AFTER_MILLIS = 700;
 
-    /** Minimum time between two checks of other shards for free capacity; each visits every machine. */
+    /**
+     * Minimum time between two checks of other shards for free capacity; each visits every machine.
+     */
     public static final long OTHER_SHARDS_CHECK_INTERVAL_MILLIS = 400;
 
     /** How long a gang that lacks quota waits before it is escalated to the leader. */
@@ -41,7 +43,9 @@
      */
     public static final int MIN_ESCALATED_TASKS = 8;
 
-    /** How long one machine of another shard must have had free capacity for a job to be escalated. */
+    /**
+     * How long one machine of another shard must have had free capacity for a job to be escalated.
+     */
     public static final long ESCALATE_TO_LASTING_CAPACITY_AFTER_MILLIS = 10_000;
 
     /** How long lower priorities leave free capacity to the leader's work of higher priority. */
@@ -53,10 +57,16 @@
     /** A scheduling cycle waits until it may write this many changes. */
     public static final int MIN_CHANGES_PER_CYCLE = 3;
 
-    /** How long a task with checkpoints runs before it is moved off a cordoned machine; starts count after 30 s. */
+    /**
+     * How long a task with checkpoints runs before it is moved off a cordoned machine; starts count
+     * after 30 s.
+     */
     public static final long MIN_RUN_BEFORE_MOVE_MILLIS = 32_000;
 
-    /** Fraction of the time within which a job should have begun from which its first tasks come before other teams' surplus. */
+    /**
+     * Fraction of the time within which a job should have begun from which its first tasks come
+     * before other teams' surplus.
+     */
     public static final double OVERDUE_RAMP_START_FRACTION = 0.375;
 
     /** Attempts after which a job's team no longer reserves quota for it: it may never succeed. */
@@ -79,7 +89,9 @@
      */
     public static final double LONG_WAIT_SECONDS = 90;
 
-    /** How long nothing of a job has found a placement before it may use machines left to others. */
+    /**
+     * How long nothing of a job has found a placement before it may use machines left to others.
+     */
     public static final long STARVING_AFTER_MILLIS = 60_000;
 
     /**
--- a/src/main/java/io/quincelead/config/constants/TransportConstants.java
+++ b/src/main/java/io/quincelead/config/constants/TransportConstants.java
@@ -43,7 +43,10 @@
     /** Fraction of the connection limit for direct calls to workers. */
     public static final double WORKER_CALLS_CONNECTION_FRACTION = 0.1;
 
-    /** Fraction of the connections that users and workers may have before workers' are closed after each response. */
+    /**
+     * Fraction of the connections that users and workers may have before workers' are closed after
+     * each response.
+     */
     public static final double CROWDED_CONNECTION_FRACTION = 0.75;
 
     private TransportConstants() {}
--- a/src/main/java/io/quincelead/config/constants/WorkerConstants.java
+++ b/src/main/java/io/quincelead/config/constants/WorkerConstants.java
@@ -56,7 +56,10 @@
     /** Time between two probes of a machine without heartbeats. */
     public static final long SILENT_WORKER_PROBE_INTERVAL_MILLIS = 4_000;
 
-    /** Consecutive heartbeats without what earlier responses started, after which a machine is considered unreachable inbound. */
+    /**
+     * Consecutive heartbeats without what earlier responses started, after which a machine is
+     * considered unreachable inbound.
+     */
     public static final int UNREACHABLE_INBOUND_AFTER_HEARTBEATS = 2;
 
     /** Consecutive failures, without a success between, that make a machine suspect. */
--- a/src/test/java/io/quincelead/simulation/StarvationChecker.java
+++ b/src/test/java/io/quincelead/simulation/StarvationChecker.java
@@ -2,8 +2,8 @@
 
 import io.quincelead.cluster.JobSpec;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 
