Quota: reserved for an urgent gang that less urgent work alone keeps waiting

Cause: quota was reserved for overdue gangs of normal and low priority only. Evidence: shares, use and demand by member each 8 s, and two debug lines that tell quota from machines (QuotaDistributor, QueueWalk).

Mend: QuotaReservations reserves CPUs and GPUs of the most urgent, oldest overdue urgent gang that fits the limit beside work as urgent and whose machines (PreemptibleCapacity) less urgent work alone holds. Quota that waits for anything else would idle. QuotaSaving doesn't save for a gang from which quota is withheld: it held back the gang that the quota was reserved for, and neither started.

QuotaReservationsTest gets machines in its set-up; its checks are as they were.

--- a/src/main/java/io/quincelead/cluster/Job.java
+++ b/src/main/java/io/quincelead/cluster/Job.java
@@ -122,9 +122,7 @@
             long nowEpochMillis, double startWithinSeconds, double minimumShare) {
         double ageSeconds = (nowEpochMillis - acceptedAtEpochMillis) / 1000.0;
         double fromSeconds = startWithinSeconds * SchedulerConstants.OVERDUE_RAMP_START_FRACTION;
-        if (ageSeconds < fromSeconds
-                || minimumShare <= 0
-                || spec.priority().ordinal() <= JobSpec.Priority.HIGH.ordinal()) {
+        if (ageSeconds < fromSeconds || minimumShare <= 0 || spec.isUrgent()) {
             return 0;
         }
         double share =
--- a/src/main/java/io/quincelead/cluster/JobSpec.java
+++ b/src/main/java/io/quincelead/cluster/JobSpec.java
@@ -116,6 +116,11 @@
         return mode == Mode.GANG;
     }
 
+    /** Whether its priority is HIGH or PRODUCTION. */
+    public boolean isUrgent() {
+        return priority.ordinal() <= Priority.HIGH.ordinal();
+    }
+
     /** Whether its replicas run until it is cancelled. */
     public boolean isService() {
         return mode == Mode.SERVICE;
--- a/src/main/java/io/quincelead/leadership/Leader.java
+++ b/src/main/java/io/quincelead/leadership/Leader.java
@@ -73,13 +73,7 @@
                         provisioningPending);
         shardRebalancer = new ShardRebalancer(eventLoop, membership, capacity);
         quotaDistributor =
-                new QuotaDistributor(
-                        eventLoop,
-                        settings.teams(),
-                        watchCache,
-                        membership,
-                        records.jobs(),
-                        policy);
+                new QuotaDistributor(eventLoop, settings.teams(), watchCache, records, policy);
         jobReassigner = new JobReassigner(watchCache, store, membership, records.jobs());
         election =
                 new LeaderElection(
--- a/src/main/java/io/quincelead/leadership/QuotaDistributor.java
+++ b/src/main/java/io/quincelead/leadership/QuotaDistributor.java
@@ -3,6 +3,7 @@
 import io.quincelead.cluster.ClusterMembership;
 import io.quincelead.cluster.ClusterMembership.QuotaShare;
 import io.quincelead.cluster.ClusterMembership.Shard;
+import io.quincelead.cluster.ClusterRecords;
 import io.quincelead.cluster.Job;
 import io.quincelead.cluster.JobSpec;
 import io.quincelead.cluster.JobTable;
@@ -46,22 +47,26 @@
             EventLoop eventLoop,
             Map<String, Settings.Team> teams,
             WatchCache watchCache,
-            ClusterMembership membership,
-            JobTable jobs,
+            ClusterRecords records,
             Policy policy) {
         this.eventLoop = eventLoop;
         this.teams = teams.values();
         this.watchCache = watchCache;
-        this.membership = membership;
-        this.jobs = jobs;
+        this.membership = records.membership();
+        this.jobs = records.jobs();
         this.policy = policy;
-        this.reservations = new QuotaReservations(teams, jobs, policy);
+        this.reservations =
+                new QuotaReservations(
+                        teams, jobs, records.machines(), records.machineTypes(), policy);
     }
 
     /**
      * A team's demand by live member, in the update's order, and that of lost controllers' jobs.
+     *
+     * @param reservedPriority before whose other demand what is reserved comes
      */
-    private record TeamDemand(Map<String, MemberDemand> byMember, MemberDemand orphaned) {}
+    private record TeamDemand(
+            Map<String, MemberDemand> byMember, MemberDemand orphaned, int reservedPriority) {}
 
     private enum Resource {
         CPUS,
@@ -108,9 +113,13 @@
     }
 
     private TeamDemand demandOf(Settings.Team team, ShardUpdate update) {
-        TeamDemand demand = new TeamDemand(new LinkedHashMap<>(), new MemberDemand());
-        update.memberIds().forEach(memberId -> demand.byMember.put(memberId, new MemberDemand()));
         List<Job> reserved = reservedJobs(team.name());
+        TeamDemand demand =
+                new TeamDemand(
+                        new LinkedHashMap<>(),
+                        new MemberDemand(),
+                        QuotaReservations.priorityOf(reserved));
+        update.memberIds().forEach(memberId -> demand.byMember.put(memberId, new MemberDemand()));
         for (Job job : jobs.all()) {
             if (!job.spec.team().equals(team.name())) {
                 continue;
@@ -175,11 +184,20 @@
             reservedByMember[members.size()] = memberDemand.reserved();
             members.add(memberDemand.quota(resource.of(share)));
         }
-        return QuotaShares.split(
-                resource.limitOf(team),
-                resource.of(demand.orphaned).used(),
+        double[] nextShares =
+                QuotaShares.split(
+                        resource.limitOf(team),
+                        resource.of(demand.orphaned).used(),
+                        members,
+                        new QuotaShares.Reservation(reservedByMember, demand.reservedPriority),
+                        hasNewMember);
+        LOG.debug(
+                "quota of {}, {}: by member {}, reserved {}, next shares {}",
+                team.name(),
+                resource,
                 members,
-                new QuotaShares.Reservation(reservedByMember, QuotaReservations.RESERVED_PRIORITY),
-                hasNewMember);
+                reservedByMember,
+                nextShares);
+        return nextShares;
     }
 }
--- a/src/main/java/io/quincelead/leadership/QuotaReservations.java
+++ b/src/main/java/io/quincelead/leadership/QuotaReservations.java
@@ -3,6 +3,8 @@
 import io.quincelead.cluster.Job;
 import io.quincelead.cluster.JobSpec;
 import io.quincelead.cluster.JobTable;
+import io.quincelead.cluster.MachineTable;
+import io.quincelead.cluster.MachineTypeCatalog;
 import io.quincelead.config.Settings;
 import io.quincelead.config.constants.SchedulerConstants;
 import io.quincelead.policy.Policy;
@@ -10,14 +12,17 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * Which overdue first starts a team's quota is reserved for. Arrays that refill each CPU as it
  * comes free would otherwise keep the quota of a team at its limit from jobs of other controllers,
- * and from gangs, which need all of theirs at one time. So one gang of a team and the first task of
- * one other job, the oldest each, come before all other work of normal priority until they have
- * started. Urgent work doesn't take part: no machines are drained for it, and quota alone would
- * idle.
+ * and from gangs, which need all of theirs at one time.
+ *
+ * <p>The most urgent, oldest urgent gang comes first, with all its CPUs and GPUs, if less urgent
+ * work alone keeps it from its quota and from its machines: quota that waits for anything else
+ * would idle. Where there is none, one gang of a team and the first task of one other job, the
+ * oldest each, come before all other work of normal priority until they have started.
  *
  * <p>Decided from records and the time of day alone: the leader and the job's controller come to
  * the same answer, and so does a new leader.
@@ -33,18 +38,28 @@
             Comparator.comparingLong(Job::acceptedAtEpochMillis)
                     .thenComparing(job -> job.spec.jobId());
 
+    private static final Comparator<Job> MOST_URGENT_THEN_OLDEST_FIRST =
+            Comparator.comparing((Job job) -> job.spec.priority()).thenComparing(OLDEST_FIRST);
+
     private final Map<String, Settings.Team> teams;
     private final JobTable jobs;
     private final Policy policy;
+    private final PreemptibleCapacity capacity;
 
-    /** Chooses among these jobs, by the limits of these teams. */
-    public QuotaReservations(Map<String, Settings.Team> teams, JobTable jobs, Policy policy) {
+    /** Chooses among these jobs, by the limits of these teams and by these machines. */
+    public QuotaReservations(
+            Map<String, Settings.Team> teams,
+            JobTable jobs,
+            MachineTable machines,
+            MachineTypeCatalog machineTypes,
+            Policy policy) {
         this.teams = teams;
         this.jobs = jobs;
         this.policy = policy;
+        this.capacity = new PreemptibleCapacity(machines, machineTypes, jobs);
     }
 
-    /** CPUs and GPUs of a team that are available to what isn't a service. */
+    /** CPUs and GPUs of a team that are available to some of its work. */
     private static final class Available {
         private double cpus;
         private double gpus;
@@ -71,9 +86,17 @@
         return job.spec.isGang() ? job.spec.taskCount() : 1;
     }
 
+    /** Before whose other demand these reserved jobs come: the ordinal of a priority. */
+    static int priorityOf(List<Job> reserved) {
+        return reserved.isEmpty()
+                ? RESERVED_PRIORITY
+                : Math.min(RESERVED_PRIORITY, reserved.get(0).spec.priority().ordinal());
+    }
+
     /**
-     * The jobs whose first start the team's quota is reserved for: at most one gang and one other
-     * job, the older one first. Together they fit into the team's limit beside its services.
+     * The jobs whose first start the team's quota is reserved for: one urgent gang, or else at most
+     * one gang and one other job, the older one first. Together they fit into the team's limit
+     * beside its services.
      *
      * @param wallMillis now, in milliseconds since 1970
      */
@@ -82,22 +105,42 @@
         if (team == null) {
             return List.of();
         }
-        Available available = new Available(team);
+        List<Job> urgent = new ArrayList<>();
         List<Job> overdue = new ArrayList<>();
         for (Job job : jobs.all()) {
-            if (!job.spec.team().equals(teamName) || job.isCancelled()) {
-                continue;
+            if (job.spec.team().equals(teamName) && isOverdueToStart(job, wallMillis)) {
+                (job.spec.isUrgent() ? urgent : overdue).add(job);
             }
-            if (isOverdueToStart(job, wallMillis)) {
-                overdue.add(job);
+        }
+        urgent.sort(MOST_URGENT_THEN_OLDEST_FIRST);
+        for (Job gang : urgent) {
+            if (isKeptFromStartingByLessUrgentWork(gang, team)) {
+                return List.of(gang);
             }
-            if (job.spec.isService()) {
+        }
+        overdue.sort(OLDEST_FIRST);
+        return overdue.isEmpty()
+                ? List.of()
                 // Services run until they are cancelled.
+                : oldestThatFit(overdue, availableBeside(team, job -> job.spec.isService()));
+    }
+
+    private boolean isKeptFromStartingByLessUrgentWork(Job gang, Settings.Team team) {
+        Available available =
+                availableBeside(
+                        team, job -> job.spec.priority().compareTo(gang.spec.priority()) <= 0);
+        return available.fits(gang) && capacity.holds(gang.spec);
+    }
+
+    /** What the team's limit leaves beside those of its jobs. */
+    private Available availableBeside(Settings.Team team, Predicate<Job> counted) {
+        Available available = new Available(team);
+        for (Job job : jobs.all()) {
+            if (job.spec.team().equals(team.name()) && counted.test(job)) {
                 available.subtract(job.spec, job.placedTaskCount());
             }
         }
-        overdue.sort(OLDEST_FIRST);
-        return oldestThatFit(overdue, available);
+        return available;
     }
 
     private static List<Job> oldestThatFit(List<Job> oldestFirst, Available available) {
@@ -123,20 +166,24 @@
                 && job.completedTaskCount() == 0
                 && job.placedTaskCount() == 0
                 && job.page(0).lastAttempt < SchedulerConstants.MAX_ATTEMPTS_WITH_RESERVED_QUOTA
-                && policy.requiredStartedTaskCount(job, wallMillis) > 0
+                && (job.spec.isUrgent()
+                        ? job.spec.isGang() && overdueSeconds(job, wallMillis) >= 0
+                        : policy.requiredStartedTaskCount(job, wallMillis) > 0)
                 && isItsTurn(job, wallMillis);
     }
 
+    private double overdueSeconds(Job job, long wallMillis) {
+        return (wallMillis - job.acceptedAtEpochMillis()) / 1000.0
+                - policy.priorityOf(job).startWithinSeconds()
+                        * SchedulerConstants.OVERDUE_RAMP_START_FRACTION;
+    }
+
     private boolean isItsTurn(Job job, long wallMillis) {
-        double overdueSeconds =
-                (wallMillis - job.acceptedAtEpochMillis()) / 1000.0
-                        - policy.priorityOf(job).startWithinSeconds()
-                                * SchedulerConstants.OVERDUE_RAMP_START_FRACTION;
         double turnSeconds =
                 job.spec.isGang()
                         ? SchedulerConstants.RESERVED_GANG_TURN_SECONDS
                         : SchedulerConstants.RESERVED_TASK_TURN_SECONDS;
         double pauseSeconds = SchedulerConstants.RESERVED_QUOTA_PAUSE_SECONDS;
-        return overdueSeconds % (turnSeconds + pauseSeconds) < turnSeconds;
+        return overdueSeconds(job, wallMillis) % (turnSeconds + pauseSeconds) < turnSeconds;
     }
 }
--- a/src/main/java/io/quincelead/leadership/QuotaShares.java
+++ b/src/main/java/io/quincelead/leadership/QuotaShares.java
@@ -52,6 +52,12 @@
         private double totalWanted() {
             return Arrays.stream(wanted).sum();
         }
+
+        @Override
+        public String toString() {
+            return String.format(
+                    "[share %s, used %s, wanted %s]", share, used, Arrays.toString(wanted));
+        }
     }
 
     private final double limit;
--- a/src/main/java/io/quincelead/scheduler/CandidateFinder.java
+++ b/src/main/java/io/quincelead/scheduler/CandidateFinder.java
@@ -39,7 +39,7 @@
             boolean ownShardOnly,
             Map<String, Integer> tasksByHost) {
         Map<String, List<Tebas.CandidateMachine>> candidatesByZone = new LinkedHashMap<>();
-        boolean urgent = QueueOrder.isUrgent(spec);
+        boolean urgent = spec.isUrgent();
         for (MachinePool pool : plan.pools.values()) {
             if (!(anywhere ? pool.allows(spec) : pool.suits(spec, tier))) {
                 continue;
--- a/src/main/java/io/quincelead/scheduler/Preemption.java
+++ b/src/main/java/io/quincelead/scheduler/Preemption.java
@@ -250,7 +250,7 @@
 
     private PreemptionCandidates candidatesFor(Job job, boolean withinGuarantee) {
         JobSpec spec = job.spec;
-        boolean urgent = QueueOrder.isUrgent(spec);
+        boolean urgent = spec.isUrgent();
         int highestPriority = spec.priority().ordinal() + (withinGuarantee ? 0 : 1);
         CandidatesKey key =
                 new CandidatesKey(
--- a/src/main/java/io/quincelead/scheduler/PreemptionRules.java
+++ b/src/main/java/io/quincelead/scheduler/PreemptionRules.java
@@ -78,8 +78,7 @@
         JobClass.PreemptionProtection protection =
                 policy.priorityOf(placement.job).preemptionProtection();
         if (protection == JobClass.PreemptionProtection.NEVER
-                || protection == JobClass.PreemptionProtection.URGENT
-                        && !QueueOrder.isUrgent(forJob.spec)) {
+                || protection == JobClass.PreemptionProtection.URGENT && !forJob.spec.isUrgent()) {
             return false;
         }
         return !QueueOrder.precedes(
--- a/src/main/java/io/quincelead/scheduler/QueueOrder.java
+++ b/src/main/java/io/quincelead/scheduler/QueueOrder.java
@@ -201,11 +201,6 @@
         return (result != 0 ? result : compareEffectivePriority(running, waiting)) < 0;
     }
 
-    /** Whether the job's own priority is HIGH or PRODUCTION. */
-    static boolean isUrgent(JobSpec spec) {
-        return spec.priority().ordinal() <= JobSpec.Priority.HIGH.ordinal();
-    }
-
     /**
      * The positions in the queue of the jobs that wait, in order.
      *
--- a/src/main/java/io/quincelead/scheduler/QueuePass.java
+++ b/src/main/java/io/quincelead/scheduler/QueuePass.java
@@ -53,7 +53,12 @@
         this.cluster = cluster;
         this.queueOrder = new QueueOrder(settings, cluster.policy());
         this.quotaReservations =
-                new QuotaReservations(settings.teams(), cluster.jobs(), cluster.policy());
+                new QuotaReservations(
+                        settings.teams(),
+                        cluster.jobs(),
+                        cluster.machines(),
+                        cluster.machineTypes(),
+                        cluster.policy());
         this.capacityReader = new CapacityReader(cluster, machineStatus);
         this.leaderPrecedence = new LeaderPrecedence(loop, cluster);
         this.ownerDrains = new OwnerDrains(cluster);
@@ -126,7 +131,7 @@
 
     private static boolean isAnyUrgent(List<Job> candidates) {
         for (Job job : candidates) {
-            if (QueueOrder.isUrgent(job.spec)) {
+            if (job.spec.isUrgent()) {
                 return true;
             }
         }
--- a/src/main/java/io/quincelead/scheduler/QueueWalk.java
+++ b/src/main/java/io/quincelead/scheduler/QueueWalk.java
@@ -4,12 +4,16 @@
 import io.quincelead.cluster.JobSpec;
 import io.quincelead.config.constants.SchedulerConstants;
 import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Walks once over the ranked jobs, first to last: places what fits, frees capacity by preemption
  * where that is allowed, and says which jobs should be escalated to the leader. Made for one plan.
  */
 final class QueueWalk {
+    private static final Logger LOG = LoggerFactory.getLogger(QueueWalk.class);
+
     /**
      * What holds for the whole walk.
      *
@@ -166,8 +170,25 @@
                         || unservedTooLong)) {
             stillUnplaced = placer.place(ranked, true);
         }
+        if (stillUnplaced > 0) {
+            logWaitingGang(job, withoutCapacity);
+        }
         if (stillUnplaced > 0 && !plan.leading && escalation.shouldEscalate(job)) {
             plan.jobsToEscalate.add(job);
         }
     }
+
+    /** Tells whether a waiting gang lacks quota or machines. */
+    private void logWaitingGang(Job job, int tasksWithoutCapacity) {
+        if (LOG.isDebugEnabled() && job.spec.isGang()) {
+            LOG.debug(
+                    "gang {} waits: quota share of {} lets in {} of {} tasks, {} of them find no"
+                            + " machine after preemption",
+                    job.spec.jobId(),
+                    job.spec.team(),
+                    plan.tasksWithinQuotaShare(job.spec),
+                    job.spec.taskCount(),
+                    tasksWithoutCapacity);
+        }
+    }
 }
--- a/src/main/java/io/quincelead/scheduler/QuotaSaving.java
+++ b/src/main/java/io/quincelead/scheduler/QuotaSaving.java
@@ -89,16 +89,26 @@
         }
     }
 
-    /** Saves the quota share up if the job is a gang that lacks it and could ever get enough. */
+    /**
+     * Saves the quota share up if the job is a gang that lacks it and could ever get enough. Not
+     * while quota is withheld from it for another job: that one would be held back in turn, and
+     * neither would ever start.
+     */
     void saveFor(QueueOrder.RankedJob ranked, int tasks) {
         Job job = ranked.job();
         if (job.spec.isGang()
+                && !isWithheldFrom(job)
                 && plan.tasksWithinQuotaShare(job.spec) < tasks
                 && couldSaveUp(job, tasks)) {
             savingTierByTeam.putIfAbsent(job.spec.team(), ranked.tier());
         }
     }
 
+    private boolean isWithheldFrom(Job job) {
+        return withheldJobs.stream()
+                .anyMatch(withheld -> withheld.spec.team().equals(job.spec.team()));
+    }
+
     /**
      * Whether the team's quota share here would do for the gang when all that completes by itself
      * has completed; if not, saving for it only idles the team.
--- a/src/test/java/io/quincelead/leadership/QuotaReservationsTest.java
+++ b/src/test/java/io/quincelead/leadership/QuotaReservationsTest.java
@@ -5,12 +5,15 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quincelead.cluster.JobSpec;
 import io.quincelead.cluster.JobTable;
+import io.quincelead.cluster.MachineTable;
+import io.quincelead.cluster.MachineTypeCatalog;
 import io.quincelead.config.Settings;
 import io.quincelead.config.TestSettings;
 import io.quincelead.policy.Policy;
 import io.quincelead.simulation.JobFixtures;
 import io.quincelead.simulation.SimulatedClock;
 import io.quincelead.store.StoreClient;
+import io.quincelead.store.StoreKeys;
 import io.quincelead.store.Transaction;
 import io.quincelead.store.WatchCache;
 import io.quincelead.transport.WireFormat;
@@ -40,9 +43,26 @@
                 new QuotaReservations(
                         Map.of("blue", new Settings.Team("blue", 8, LIMIT_CPUS, 0, 4)),
                         jobs,
+                        new MachineTable(watchCache),
+                        new MachineTypeCatalog(watchCache),
                         new Policy(watchCache));
         private long revision;
 
+        /** Machines of 4 CPUs and one GPU. */
+        void putMachines(String zone, String... hosts) {
+            MachineTypeCatalog.MachineType type =
+                    new MachineTypeCatalog.MachineType(
+                            "gpu", 4, 1, 16, 60, 1, 1, 0.4, 8, List.of("a", "b"));
+            ObjectNode group =
+                    WireFormat.newMap().put("k", "gpu").put("s", zone).put("p", false).put("r", 0);
+            List.of(hosts).forEach(group.putArray("h")::add);
+            watchCache.applyCommitted(
+                    new Transaction()
+                            .put(StoreKeys.MACHINE_TYPE_PREFIX + "gpu", type.encode())
+                            .put(StoreKeys.MACHINE_PREFIX + "group-" + zone, group),
+                    ++revision);
+        }
+
         void put(JobSpec spec, long acceptedAtMillis) {
             put(spec, acceptedAtMillis, 0, "");
         }
@@ -110,6 +130,78 @@
         assertEquals(List.of(), records.reserved());
     }
 
+    private static final String[] FOUR_HOSTS = {"i-000001", "i-000002", "i-000003", "i-000004"};
+
+    private static JobSpec gpuGang(int number, JobSpec.Priority priority) {
+        return JobFixtures.gang(number, "blue", priority, 4)
+                .cpus(3)
+                .gpus(1)
+                .zoneAffinity(true)
+                .build();
+    }
+
+    /** An array of the same team with running tasks of two CPUs, in turn on the four hosts. */
+    private void putRunningTasks(int number, JobSpec.Priority priority, int tasks) {
+        JobSpec spec = JobFixtures.array(number, "blue", priority, 30, 2, 10);
+        StringBuilder placements = new StringBuilder();
+        for (int i = 0; i < tasks; i++) {
+            placements.append(i).append(' ').append(FOUR_HOSTS[i % 4]).append(" 1;");
+        }
+        records.put(spec, LONG_AGO_MILLIS, 1, placements.toString());
+    }
+
+    /** Less urgent work of its team once kept an urgent gang from its quota for ever. */
+    @Test
+    void urgentGangThatLessUrgentWorkKeepsWaitingIsReservedAlone() {
+        records.putMachines("a", FOUR_HOSTS);
+        putRunningTasks(1, JobSpec.Priority.NORMAL, 4);
+        records.put(array(2), LONG_AGO_MILLIS - 20_000);
+        records.put(gpuGang(3, JobSpec.Priority.HIGH), LONG_AGO_MILLIS);
+        records.put(gpuGang(4, JobSpec.Priority.HIGH), LONG_AGO_MILLIS - 10_000);
+        assertEquals(List.of("wk-000004"), records.reserved());
+        records.put(gpuGang(5, JobSpec.Priority.PRODUCTION), LONG_AGO_MILLIS);
+        assertEquals(List.of("wk-000005"), records.reserved());
+    }
+
+    @Test
+    void nothingIsReservedForAnUrgentGangThatHasNotWaitedLong() {
+        records.putMachines("a", FOUR_HOSTS);
+        records.put(gpuGang(1, JobSpec.Priority.HIGH), NOW_MILLIS - 89_000);
+        assertEquals(List.of(), records.reserved());
+    }
+
+    /** Quota that waits for machines would idle. */
+    @Test
+    void nothingIsReservedForAnUrgentGangWhoseMachinesHoldWorkAsUrgent() {
+        records.putMachines("a", FOUR_HOSTS);
+        records.put(gpuGang(1, JobSpec.Priority.HIGH), LONG_AGO_MILLIS);
+        JobSpec otherTeams = JobFixtures.array(2, "green", JobSpec.Priority.HIGH, 1, 2, 10);
+        records.put(otherTeams, LONG_AGO_MILLIS, 1, "0 i-000002 1;");
+        assertEquals(List.of(), records.reserved());
+    }
+
+    @Test
+    void nothingIsReservedForAnUrgentGangWhoseZonesHoldAPartOfItEach() {
+        records.putMachines("a", FOUR_HOSTS[0], FOUR_HOSTS[1]);
+        records.putMachines("b", FOUR_HOSTS[2], FOUR_HOSTS[3]);
+        records.put(gpuGang(1, JobSpec.Priority.HIGH), LONG_AGO_MILLIS);
+        assertEquals(List.of(), records.reserved());
+    }
+
+    /** Two urgent gangs that exceed the team's GPUs together would idle its CPUs for both. */
+    @Test
+    void urgentGangWaitsForWorkAsUrgentWithoutReserving() {
+        records.putMachines("a", FOUR_HOSTS);
+        records.putMachines("b", "i-000005", "i-000006", "i-000007", "i-000008");
+        records.put(
+                gpuGang(1, JobSpec.Priority.HIGH),
+                LONG_AGO_MILLIS,
+                1,
+                "0 i-000001 1;1 i-000002 1;2 i-000003 1;3 i-000004 1;");
+        records.put(gpuGang(2, JobSpec.Priority.HIGH), LONG_AGO_MILLIS);
+        assertEquals(List.of(), records.reserved());
+    }
+
     /** A gang that finds no machines leaves the quota to others after a while. */
     @Test
     void turnsEndAndBeginAgain() {
--- a/src/test/java/io/quincelead/simulation/FirstStartTest.java
+++ b/src/test/java/io/quincelead/simulation/FirstStartTest.java
@@ -3,8 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** First starts within 240 s, on seeds where gangs began late though they could have begun. */
 class FirstStartTest {
@@ -24,4 +26,13 @@
                         .toList();
         assertEquals(List.of(), startableButLate);
     }
+
+    /** Less urgent work kept the quota of urgent gangs (docs/incidents/urgent-gang-quota.md). */
+    @ParameterizedTest
+    @ValueSource(longs = {12001, 12036, 8007, 8009})
+    void urgentGangOnGpusBeginsInTime(long seed) {
+        SimulatedCluster cluster = RandomScenarios.playOverload(seed);
+        assertEquals(List.of(), cluster.serviceLevels().starved());
+        assertEquals(Set.of(), cluster.violations());
+    }
 }
