--- a/src/test/java/io/quincelead/simulation/LostResponseTest.java
+++ b/src/test/java/io/quincelead/simulation/LostResponseTest.java
@@ -389,7 +389,7 @@
      * knew them.
      */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 4, 5, 6, 7, 8})
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void overtakenReassignmentUndoesNothing(long seed) {
         SimulatedCluster cluster = clusterWithReadyMachines(70 + seed, 4, 24);
         cluster.submissionRetryMillis = 200_000;
@@ -403,6 +403,11 @@
         int[] overtakenWrites = {0};
         cluster.store.arrivalObserver =
                 transaction -> overtakenWrites[0] += countOvertakenJobWrites(cluster, transaction);
+        cluster.store.holdsTransaction =
+                transaction ->
+                        overtakenWrites[0] == 0
+                                && reassignsJobNotCancelled(transaction)
+                                && countOvertakenJobWrites(cluster, transaction) == 0;
         cluster.users.consistencyProbes = true;
         cluster.network.requestObserver =
                 (path, body) -> {
@@ -420,6 +425,20 @@
         assertAllJobsFinished(cluster, 40);
     }
 
+    /** Whether it is a reassignment and knows nothing of the cancellation of one of its jobs. */
+    private static boolean reassignsJobNotCancelled(ObjectNode transaction) {
+        if (!CommitKind.REASSIGNMENT.matcher.test(transaction)) {
+            return false;
+        }
+        for (JsonNode operation : transaction.path("then")) {
+            if (operation.path("put").asText().startsWith("a/j/")
+                    && !operation.path("value").has("x")) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Job records of a reassignment that meanwhile were removed, or marked as cancelled. */
     private static int countOvertakenJobWrites(SimulatedCluster cluster, ObjectNode transaction) {
         if (!CommitKind.REASSIGNMENT.matcher.test(transaction)) {
--- a/src/test/java/io/quincelead/simulation/SimulatedStore.java
+++ b/src/test/java/io/quincelead/simulation/SimulatedStore.java
@@ -26,6 +26,9 @@
             String prefix, long afterRevision, IncomingRequest request, String clientIp) {}
 
     /** Characters of JSON that a value has at most. */
+    /** ms after which it is asked again whether a transaction is still held up. */
+    private static final long HOLD_CHECK_MILLIS = 20;
+
     private static final int MAX_VALUE_LENGTH = 8 * 1024;
 
     private final SimulatedClock clock;
@@ -90,6 +93,9 @@
     /** Which transactions get lost on their way, perhaps to arrive later. */
     public Predicate<ObjectNode> dropsTransaction = transaction -> false;
 
+    /** Which transactions are held up on their way for as long as this says so. */
+    public Predicate<ObjectNode> holdsTransaction = transaction -> false;
+
     /** Sees each transaction as it arrives, before anything is done with it. */
     public Consumer<ObjectNode> arrivalObserver = transaction -> {};
 
@@ -197,6 +203,8 @@
             openLease(request, body.path("lifeMs").asLong());
         } else if (request.path.startsWith("/holds/")) {
             renewOrEndLease(request, Long.parseLong(request.path.split("/")[2]));
+        } else if (request.path.equals("/commit") && holdsTransaction.test(body)) {
+            clock.schedule(HOLD_CHECK_MILLIS, () -> process(request, clientIp));
         } else if (request.path.equals("/commit")) {
             commitWithFaults(request, body);
         } else if (request.path.equals("/store")) {
