Scheduler: work is held back from capacity left to others for a minute at most

Cause: nothing bounded the reserve for urgent arrivals, and machines kept for GPUs were opened only to a job of which nothing was served for 60 s, which each task served elsewhere restarted.

Mend: HoldBackTimer measures how long work is held back from room that some machine has, whatever is served elsewhere, and then lets in one task a pass.

--- a/src/main/java/io/quincelead/cluster/JobSpec.java
+++ b/src/main/java/io/quincelead/cluster/JobSpec.java
@@ -121,6 +121,11 @@
         return priority.ordinal() <= Priority.HIGH.ordinal();
     }
 
+    /** Whether its tasks are independent of each other and end by themselves. */
+    public boolean isArray() {
+        return mode == Mode.ARRAY;
+    }
+
     /** Whether its replicas run until it is cancelled. */
     public boolean isService() {
         return mode == Mode.SERVICE;
@@ -128,7 +133,7 @@
 
     /** Whether any machine may run it and it is counted in CPUs alone. */
     public boolean isUnconstrained() {
-        return mode == Mode.ARRAY
+        return isArray()
                 && gpus == 0
                 && machineTypes == null
                 && zone == null
--- /dev/null
+++ b/src/main/java/io/quincelead/scheduler/HoldBack.java
@@ -0,0 +1,32 @@
+package io.quincelead.scheduler;
+
+/** Whether, in one plan, work was held back from free capacity that is left to others. */
+final class HoldBack {
+    private boolean occurred;
+    private boolean mayAdmit;
+
+    /**
+     * @param mayAdmit whether one task is let in all the same
+     */
+    HoldBack(boolean mayAdmit) {
+        this.mayAdmit = mayAdmit;
+    }
+
+    /** Whether it still makes a difference that some work is held back. */
+    boolean isOpen() {
+        return !occurred || mayAdmit;
+    }
+
+    /** Some work is held back. Returns whether one task of it is let in: at most once a plan. */
+    boolean admitsTask() {
+        occurred = true;
+        boolean admitted = mayAdmit;
+        mayAdmit = false;
+        return admitted;
+    }
+
+    /** Whether any work was held back. */
+    boolean occurred() {
+        return occurred;
+    }
+}
--- a/src/main/java/io/quincelead/scheduler/MachinePool.java
+++ b/src/main/java/io/quincelead/scheduler/MachinePool.java
@@ -44,9 +44,12 @@
      * GPUs from those who need them.
      */
     boolean suits(JobSpec spec, int tier) {
-        return allows(spec)
-                && maxTier >= tier
-                && !(gpusInDemand && spec.gpus() == 0 && spec.machineTypes() == null);
+        return allows(spec) && maxTier >= tier && !isKeptFrom(spec);
+    }
+
+    /** Whether the job could go there, but for those who need the GPUs. */
+    boolean isKeptFrom(JobSpec spec) {
+        return gpusInDemand && spec.gpus() == 0 && spec.machineTypes() == null && allows(spec);
     }
 
     /** Whether the job's own demands let it go there. */
--- a/src/main/java/io/quincelead/scheduler/Placer.java
+++ b/src/main/java/io/quincelead/scheduler/Placer.java
@@ -57,7 +57,7 @@
         Job job = ranked.job();
         JobSpec spec = job.spec;
         int wanted = Math.min(ranked.maxTasks(), plan.unplacedTasks(job));
-        int tasks = permittedTasks(spec, wanted, anywhere);
+        int tasks = permittedTasks(ranked, wanted, anywhere);
         if (tasks <= 0
                 || spec.isGang() && tasks < wanted
                 || (anywhere ? unsatisfiableAnywhere : unsatisfiable).covers(spec)) {
@@ -87,24 +87,61 @@
     }
 
     /** As many of the wanted tasks as the quota share and the reserve for urgent work let in. */
-    private int permittedTasks(JobSpec spec, int wanted, boolean anywhere) {
+    private int permittedTasks(QueueOrder.RankedJob ranked, int wanted, boolean anywhere) {
+        JobSpec spec = ranked.job().spec;
         int tasks = Math.min(wanted, plan.tasksWithinQuotaShare(spec));
-        if (spec.priority() == JobSpec.Priority.BEST_EFFORT && spec.isUnconstrained()) {
-            // What urgent work will need before long is left free: preempting best-effort work
-            // costs it its run, and the store writes.
-            double freeCpus = anywhere ? plan.freeCpus(true) : plan.freeCpus();
-            tasks =
-                    Math.min(
-                            tasks,
-                            Tebas.taskCapacity(
-                                    freeCpus - plan.reservedCpus,
-                                    Double.MAX_VALUE,
-                                    0,
-                                    spec.cpus(),
-                                    0,
-                                    0));
+        if (tasks <= 0
+                || spec.priority() != JobSpec.Priority.BEST_EFFORT
+                || !spec.isUnconstrained()) {
+            return tasks;
+        }
+        // What urgent work will need before long is left free: preempting best-effort work costs
+        // it its run, and the store writes.
+        double freeCpus = anywhere ? plan.freeCpus(true) : plan.freeCpus();
+        int besideReserve =
+                Tebas.taskCapacity(
+                        freeCpus - plan.reservedCpus, Double.MAX_VALUE, 0, spec.cpus(), 0, 0);
+        return besideReserve > 0 ? Math.min(tasks, besideReserve) : tasksOfReserve(ranked);
+    }
+
+    /** One task a plan where best-effort work has waited for too long, else none. */
+    private int tasksOfReserve(QueueOrder.RankedJob ranked) {
+        return plan.reserveHoldBack.isOpen()
+                        && hasRoom(ranked, pool -> pool.suits(ranked.job().spec, ranked.tier()))
+                        && plan.reserveHoldBack.admitsTask()
+                ? 1
+                : 0;
+    }
+
+    /**
+     * Places one task of an array on a machine that is kept for others' GPUs, where such work has
+     * been held back for too long. Services would stay there for good.
+     *
+     * @return how many tasks were placed
+     */
+    int placeDespiteGpuDemand(QueueOrder.RankedJob ranked) {
+        JobSpec spec = ranked.job().spec;
+        boolean heldBack =
+                spec.isArray()
+                        && plan.gpuHoldBack.isOpen()
+                        && plan.tasksWithinQuotaShare(spec) > 0
+                        && hasRoom(ranked, pool -> pool.isKeptFrom(spec));
+        if (!heldBack || !plan.gpuHoldBack.admitsTask()) {
+            return 0;
+        }
+        return 1 - place(ranked.limitedTo(1), true);
+    }
+
+    private boolean hasRoom(QueueOrder.RankedJob ranked, Predicate<MachinePool> allowed) {
+        for (MachinePool pool : plan.pools.values()) {
+            for (FreeCapacity machine : pool.machinesIf(allowed.test(pool))) {
+                if (ranked.tier() < machine.reservedForTier
+                        && machine.taskCapacity(ranked.job().spec) > 0) {
+                    return true;
+                }
+            }
         }
-        return tasks;
+        return false;
     }
 
     /**
--- a/src/main/java/io/quincelead/scheduler/QueueOrder.java
+++ b/src/main/java/io/quincelead/scheduler/QueueOrder.java
@@ -91,6 +91,11 @@
                     rank);
         }
 
+        /** The same position for so many tasks. */
+        RankedJob limitedTo(int tasks) {
+            return withReplicaRank(replicaRank, tasks);
+        }
+
         /** By its own priority: what it may preempt and what may preempt it goes by this. */
         int tier() {
             return firstStart
--- a/src/main/java/io/quincelead/scheduler/QueuePass.java
+++ b/src/main/java/io/quincelead/scheduler/QueuePass.java
@@ -32,6 +32,8 @@
     private final OwnerDrains ownerDrains;
     private final EscalationPolicy escalationPolicy;
     private final UnservedJobs unservedJobs;
+    private final HoldBackTimer reserveHoldBackTimer;
+    private final HoldBackTimer gpuHoldBackTimer;
 
     /** When best-effort work may be placed again, in milliseconds on the loop's clock. */
     private long bestEffortAtMillis;
@@ -64,6 +66,8 @@
         this.ownerDrains = new OwnerDrains(cluster);
         this.escalationPolicy = new EscalationPolicy(loop, capacityReader);
         this.unservedJobs = new UnservedJobs(loop, cluster.jobs());
+        this.reserveHoldBackTimer = new HoldBackTimer(loop);
+        this.gpuHoldBackTimer = new HoldBackTimer(loop);
     }
 
     /** Whether work of this controller waited for free capacity at the last pass. */
@@ -105,6 +109,8 @@
         if (!workWaiting) {
             escalationPolicy.clear();
             unservedJobs.clear();
+            reserveHoldBackTimer.clear();
+            gpuHoldBackTimer.clear();
             terminations.recordDue(plan);
             return;
         }
@@ -113,6 +119,9 @@
                 cluster.constrainedDemand()
                                 .expectedUrgentCpus(SchedulerConstants.CONSTRAINED_RESERVE_SECONDS)
                         / (plan.leading ? 1 : Math.max(1, cluster.shards().shards().size()));
+        plan.reserveHoldBack = reserveHoldBackTimer.begin(false);
+        plan.gpuHoldBack =
+                gpuHoldBackTimer.begin(isAnyOnGpus(candidates) || isAnyOnGpus(jobsAtLeader));
         plan.jobsWithinGuarantee = queueOrder.jobsWithinGuarantee(cluster.jobs().jobsOldestFirst());
         leaderPrecedence.reserveCapacityForLeader(plan, jobsAtLeader);
         if (plan.leading) {
@@ -129,6 +138,10 @@
         return largest;
     }
 
+    private static boolean isAnyOnGpus(List<Job> candidates) {
+        return candidates.stream().anyMatch(job -> job.spec.gpus() > 0);
+    }
+
     private static boolean isAnyUrgent(List<Job> candidates) {
         for (Job job : candidates) {
             if (job.spec.isUrgent()) {
@@ -223,6 +236,10 @@
                         wallMillis, storeUnderPressure, gpusInDemand, takeBestEffortTurn());
         new QueueWalk(plan, placer, preemption, quotaSaving, escalation, unservedJobs, conditions)
                 .walk(queue, terminations);
+        if (conditions.bestEffortDue()) {
+            reserveHoldBackTimer.end(plan.reserveHoldBack);
+            gpuHoldBackTimer.end(plan.gpuHoldBack);
+        }
         escalation.forgetPlacedJobs();
         unservedJobs.forgetFinishedJobs();
     }
--- a/src/main/java/io/quincelead/scheduler/QueueWalk.java
+++ b/src/main/java/io/quincelead/scheduler/QueueWalk.java
@@ -170,6 +170,9 @@
                         || unservedTooLong)) {
             stillUnplaced = placer.place(ranked, true);
         }
+        if (conditions.gpusInDemand && Math.min(withoutCapacity, stillUnplaced) > 0) {
+            stillUnplaced -= placer.placeDespiteGpuDemand(ranked);
+        }
         if (stillUnplaced > 0) {
             logWaitingGang(job, withoutCapacity);
         }
--- a/src/main/java/io/quincelead/scheduler/SchedulingPlan.java
+++ b/src/main/java/io/quincelead/scheduler/SchedulingPlan.java
@@ -86,6 +86,12 @@
     /** CPUs that best-effort work leaves free. */
     double reservedCpus;
 
+    /** Best-effort work that {@link #reservedCpus} alone hold back. */
+    HoldBack reserveHoldBack = new HoldBack(false);
+
+    /** Work that is kept from machines only because others need their GPUs. */
+    HoldBack gpuHoldBack = new HoldBack(false);
+
     SchedulingPlan(
             ClusterMembership.Shard shard,
             boolean leading,
--- a/src/test/java/io/quincelead/simulation/SchedulingScenarioTest.java
+++ b/src/test/java/io/quincelead/simulation/SchedulingScenarioTest.java
@@ -9,9 +9,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** What is placed, preempted and provisioned, and in which order, by a whole cluster. */
@@ -433,4 +435,84 @@
                     jobId + " began after " + startDelayMillis + " ms");
         }
     }
+
+    /**
+     * Best-effort work that machines had room for once waited for as long as urgent work arrived,
+     * behind what is left free for the next arrivals.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void bestEffortWorkDoesNotWaitForEverBehindTheReserveForUrgentArrivals(long seed) {
+        SimulatedCluster cluster =
+                new SimulatedCluster(
+                        seed, List.of(SimulatedCloud.MachineType.small(5, List.of("a"), 4)), 1);
+        cluster.setTeam("red", 40, 40);
+        cluster.cloud.addRunningMachines("small", "a", 4);
+        cluster.start();
+        cluster.submitAfter(
+                4_000,
+                JobFixtures.service(1, "red", JobSpec.Priority.PRODUCTION, 3).cpus(8).build());
+        for (int i = 0; i < 30; i++) {
+            JobSpec urgentJob =
+                    JobFixtures.arrayJob(10 + i, "red", JobSpec.Priority.HIGH, 3)
+                            .cpus(2)
+                            .runtimeSeconds(4)
+                            .preemptible(false)
+                            .build();
+            cluster.submitAfter(10_000 + i * 10_000, urgentJob);
+        }
+        JobSpec bestEffortJob =
+                JobFixtures.array(2, "blue", JobSpec.Priority.BEST_EFFORT, 40, 1, 20);
+        cluster.submitAfter(30_000, bestEffortJob);
+        cluster.runUntil(320_000);
+        assertEquals(Set.of(), cluster.violations());
+        long startDelayMillis = cluster.serviceLevels().firstStartDelayMillis("wk-000002");
+        assertTrue(
+                startDelayMillis >= 0 && startDelayMillis <= StarvationChecker.WAIT_LIMIT_MILLIS,
+                "began after " + startDelayMillis + " ms");
+        for (int i = 0; i < 30; i++) {
+            long urgentDelayMillis =
+                    cluster.serviceLevels().firstStartDelayMillis(JobFixtures.id(10 + i));
+            assertTrue(
+                    urgentDelayMillis >= 0 && urgentDelayMillis < 3_000,
+                    "urgent job began after " + urgentDelayMillis + " ms");
+        }
+    }
+
+    /**
+     * Machines whose GPUs one gang had asked for once stood idle beside an array for five minutes,
+     * because a task of it was served elsewhere now and then.
+     */
+    @ParameterizedTest
+    @CsvSource({"BEST_EFFORT, 1", "BEST_EFFORT, 2", "NORMAL, 1", "NORMAL, 2"})
+    void workDoesNotWaitForEverBesideIdleMachinesThatAreKeptForTheirGpus(
+            JobSpec.Priority priority, long seed) {
+        SimulatedCluster cluster =
+                new SimulatedCluster(
+                        seed,
+                        List.of(
+                                SimulatedCloud.MachineType.small(5, List.of("a"), 2),
+                                new SimulatedCloud.MachineType(
+                                        "gpu", 16, 4, 64, 5, 2, 8, List.of("a"), 2)),
+                        1);
+        cluster.setTeam("red", 100, 100, 8, 8);
+        cluster.setTeam("blue", 50, 100, 8, 8);
+        cluster.cloud.addRunningMachines("small", "a", 2);
+        cluster.cloud.addRunningMachines("gpu", "a", 2);
+        cluster.start();
+        cluster.submitAfter(
+                4_000,
+                JobFixtures.service(1, "red", JobSpec.Priority.PRODUCTION, 2).cpus(7).build());
+        cluster.submitAfter(
+                6_000,
+                JobFixtures.gang(2, "red", JobSpec.Priority.HIGH, 2)
+                        .cpus(8)
+                        .gpus(4)
+                        .runtimeSeconds(4)
+                        .preemptible(false)
+                        .build());
+        cluster.submitAfter(10_000, JobFixtures.array(3, "blue", priority, 600, 1, 10));
+        cluster.runUntil(280_000);
+        assertNoViolations(cluster);
+    }
 }
