--- a/src/test/java/io/quincelead/simulation/SimulatedStore.java
+++ b/src/test/java/io/quincelead/simulation/SimulatedStore.java
@@ -26,11 +26,11 @@
             String prefix, long afterRevision, IncomingRequest request, String clientIp) {}
 
     /** Characters of JSON that a value has at most. */
+    private static final int MAX_VALUE_LENGTH = 8 * 1024;
+
     /** ms after which it is asked again whether a transaction is still held up. */
     private static final long HOLD_CHECK_MILLIS = 20;
 
-    private static final int MAX_VALUE_LENGTH = 8 * 1024;
-
     private final SimulatedClock clock;
     private final int maxOperations;
     private final TreeMap<String, VersionedValue> entries = new TreeMap<>();
