--- a/src/test/java/io/quincelead/cluster/CorruptRecordTest.java
+++ b/src/test/java/io/quincelead/cluster/CorruptRecordTest.java
@@ -8,7 +8,7 @@
 import io.quincelead.config.TestSettings;
 import io.quincelead.simulation.JobFixtures;
 import io.quincelead.simulation.SimulatedClock;
-import io.quincelead.store.StoreClient;
+import io.quincelead.store.SilentStore;
 import io.quincelead.store.Transaction;
 import io.quincelead.store.WatchCache;
 import io.quincelead.transport.WireFormat;
@@ -28,13 +28,7 @@
 class CorruptRecordTest {
     private final SimulatedClock.SimulatedProcess loop = new SimulatedClock(1).newProcess();
     private final WatchCache watchCache =
-            new WatchCache(
-                    loop,
-                    new StoreClient(
-                            loop,
-                            (address, method, path, codec, body, ms, reply) -> {},
-                            TestSettings.LONE_CONTROLLER),
-                    100);
+            SilentStore.watchCache(loop, TestSettings.LONE_CONTROLLER);
     private long revision;
 
     private void put(String key, ObjectNode value) {
--- a/src/test/java/io/quincelead/config/TestSettings.java
+++ b/src/test/java/io/quincelead/config/TestSettings.java
@@ -3,25 +3,39 @@
 import java.util.List;
 import java.util.Map;
 
-/** Settings of a lone controller on a small store. */
+/** Settings of a lone controller for tests. */
 public final class TestSettings {
+    /** Without teams, on a small store. */
     public static final Settings LONE_CONTROLLER =
-            new Settings(
+            loneController(
                     "worker-0",
-                    "a",
-                    "10.0.0.1:8080",
-                    "10.0.0.1:8081",
                     Map.of(),
-                    "10.2.0.2:1",
-                    "10.2.0.1:1",
-                    1,
-                    25,
-                    Map.of(),
-                    List.of(),
                     new Settings.WorkerTimings(1, 10, 45, 6, 40),
-                    new Settings.StoreLimits(400, 200, 8, 12),
-                    new Settings.CloudLimits(4, 4),
-                    new Settings.ProcessLimits(1, 256, 500));
+                    new Settings.StoreLimits(400, 200, 8, 12));
 
     private TestSettings() {}
+
+    /** With these teams by name, workers and limits of the store. */
+    public static Settings loneController(
+            String memberId,
+            Map<String, Settings.Team> teams,
+            Settings.WorkerTimings workerTimings,
+            Settings.StoreLimits storeLimits) {
+        return new Settings(
+                memberId,
+                "a",
+                "10.0.0.1:8080",
+                "10.0.0.1:8081",
+                Map.of(),
+                "10.2.0.2:1",
+                "10.2.0.1:1",
+                1,
+                25,
+                teams,
+                List.of(),
+                workerTimings,
+                storeLimits,
+                new Settings.CloudLimits(4, 4),
+                new Settings.ProcessLimits(1, 256, 500));
+    }
 }
--- a/src/test/java/io/quincelead/leadership/QuotaReservationsTest.java
+++ b/src/test/java/io/quincelead/leadership/QuotaReservationsTest.java
@@ -12,7 +12,7 @@
 import io.quincelead.policy.Policy;
 import io.quincelead.simulation.JobFixtures;
 import io.quincelead.simulation.SimulatedClock;
-import io.quincelead.store.StoreClient;
+import io.quincelead.store.SilentStore;
 import io.quincelead.store.StoreKeys;
 import io.quincelead.store.Transaction;
 import io.quincelead.store.WatchCache;
@@ -31,13 +31,7 @@
     private static final class Records {
         private final SimulatedClock.SimulatedProcess loop = new SimulatedClock(1).newProcess();
         private final WatchCache watchCache =
-                new WatchCache(
-                        loop,
-                        new StoreClient(
-                                loop,
-                                (address, method, path, codec, body, ms, reply) -> {},
-                                TestSettings.LONE_CONTROLLER),
-                        100);
+                SilentStore.watchCache(loop, TestSettings.LONE_CONTROLLER);
         private final JobTable jobs = new JobTable(loop, watchCache);
         private final QuotaReservations reservations =
                 new QuotaReservations(
--- a/src/test/java/io/quincelead/leadership/ShardUpdateTest.java
+++ b/src/test/java/io/quincelead/leadership/ShardUpdateTest.java
@@ -8,8 +8,9 @@
 import io.quincelead.cluster.ClusterMembership.QuotaShare;
 import io.quincelead.cluster.ClusterMembership.Shard;
 import io.quincelead.config.Settings;
+import io.quincelead.config.TestSettings;
 import io.quincelead.eventloop.EventLoop;
-import io.quincelead.store.StoreClient;
+import io.quincelead.store.SilentStore;
 import io.quincelead.store.StoreKeys;
 import io.quincelead.store.Transaction;
 import io.quincelead.store.WatchCache;
@@ -39,30 +40,12 @@
             };
 
     private final Settings settings =
-            new Settings(
+            TestSettings.loneController(
                     "one",
-                    "a",
-                    "10.0.0.1:1",
-                    "10.0.0.1:2",
-                    Map.of("two", "10.0.0.2:2"),
-                    "10.2.0.2:1",
-                    "10.2.0.1:1",
-                    2,
-                    25,
                     Map.of("red", new Settings.Team("red", 0, 100, 0, 0)),
-                    List.of(),
                     new Settings.WorkerTimings(3, 17.5, 45, 6, 40),
-                    new Settings.StoreLimits(600, 250, 8, 12),
-                    new Settings.CloudLimits(2, 4),
-                    new Settings.ProcessLimits(1, 256, 100));
-    private final WatchCache watchCache =
-            new WatchCache(
-                    STANDING_LOOP,
-                    new StoreClient(
-                            STANDING_LOOP,
-                            (address, method, path, codec, body, ms, reply) -> {},
-                            settings),
-                    100);
+                    new Settings.StoreLimits(600, 250, 8, 12));
+    private final WatchCache watchCache = SilentStore.watchCache(STANDING_LOOP, settings);
     private final ClusterMembership membership = new ClusterMembership(settings, watchCache);
 
     /** Two live members; the first has a shard with one machine, under token 5 of 5. */
--- a/src/test/java/io/quincelead/scheduler/ClusterFixture.java
+++ b/src/test/java/io/quincelead/scheduler/ClusterFixture.java
@@ -14,8 +14,10 @@
 import io.quincelead.cluster.TaskStatePageEdit;
 import io.quincelead.config.OperatorSettings;
 import io.quincelead.config.Settings;
+import io.quincelead.config.TestSettings;
 import io.quincelead.eventloop.EventLoop;
 import io.quincelead.policy.Policy;
+import io.quincelead.store.SilentStore;
 import io.quincelead.store.StoreClient;
 import io.quincelead.store.Transaction;
 import io.quincelead.store.WatchCache;
@@ -57,24 +59,12 @@
                 public void runAfter(long ms, Runnable task) {}
             };
     final Settings settings =
-            new Settings(
+            TestSettings.loneController(
                     MEMBER_ID,
-                    "a",
-                    "10.0.0.1:1",
-                    "10.0.0.1:2",
-                    Map.of(),
-                    "10.2.0.2:1",
-                    "10.2.0.1:1",
-                    1,
-                    25,
                     Map.of("red", new Settings.Team("red", 0, 1e9, 0, 0)),
-                    List.of(),
                     new Settings.WorkerTimings(3, 17.5, 45, 6, 40),
-                    new Settings.StoreLimits(600, 250, 8, 12),
-                    new Settings.CloudLimits(2, 4),
-                    new Settings.ProcessLimits(1, 256, 100));
-    final StoreClient store =
-            new StoreClient(loop, (address, method, path, codec, body, ms, reply) -> {}, settings);
+                    new Settings.StoreLimits(600, 250, 8, 12));
+    final StoreClient store = SilentStore.client(loop, settings);
     private final WatchCache watchCache = new WatchCache(loop, store, 100);
     private final ClusterMembership shards = new ClusterMembership(settings, watchCache);
     final JobTable jobs = new JobTable(loop, watchCache);
--- a/src/test/java/io/quincelead/scheduler/PreemptionTest.java
+++ b/src/test/java/io/quincelead/scheduler/PreemptionTest.java
@@ -9,10 +9,11 @@
 import io.quincelead.cluster.MachineTypeCatalog;
 import io.quincelead.cluster.Placement;
 import io.quincelead.config.Settings;
+import io.quincelead.config.TestSettings;
 import io.quincelead.eventloop.EventLoop;
 import io.quincelead.policy.Policy;
 import io.quincelead.simulation.JobFixtures;
-import io.quincelead.store.StoreClient;
+import io.quincelead.store.SilentStore;
 import io.quincelead.store.Transaction;
 import io.quincelead.store.WatchCache;
 import io.quincelead.transport.WireFormat;
@@ -45,28 +46,12 @@
     private final EventLoop loop = new BusyLoop();
     private final Settings.Team team = new Settings.Team("red", 1_000, 1_000, 0, 0);
     private final Settings settings =
-            new Settings(
+            TestSettings.loneController(
                     "w",
-                    "a",
-                    "10.0.0.1:1",
-                    "10.0.0.1:2",
-                    Map.of(),
-                    "10.2.0.2:1",
-                    "10.2.0.1:1",
-                    1,
-                    25,
                     Map.of("red", team),
-                    List.of(),
                     new Settings.WorkerTimings(1, 10, 45, 6, 40),
-                    new Settings.StoreLimits(100, 100, 8, 12),
-                    new Settings.CloudLimits(2, 4),
-                    new Settings.ProcessLimits(1, 256, 100));
-    private final WatchCache watchCache =
-            new WatchCache(
-                    loop,
-                    new StoreClient(
-                            loop, (address, method, path, codec, body, ms, reply) -> {}, settings),
-                    100);
+                    new Settings.StoreLimits(100, 100, 8, 12));
+    private final WatchCache watchCache = SilentStore.watchCache(loop, settings);
     private final JobTable jobs = new JobTable(loop, watchCache);
     private final Policy policy = new Policy(watchCache);
 
