Scheduler: best-effort work is not let into the reserve for urgent arrivals again

Tasks let in after 60 s fill what a lost zone's services need. A check that once held isn't loosened, so that part is taken out; machines kept for GPUs are still opened.

--- a/src/main/java/io/quincelead/scheduler/Placer.java
+++ b/src/main/java/io/quincelead/scheduler/Placer.java
@@ -101,16 +101,7 @@
         int besideReserve =
                 Tebas.taskCapacity(
                         freeCpus - plan.reservedCpus, Double.MAX_VALUE, 0, spec.cpus(), 0, 0);
-        return besideReserve > 0 ? Math.min(tasks, besideReserve) : tasksOfReserve(ranked);
-    }
-
-    /** One task a plan where best-effort work has waited for too long, else none. */
-    private int tasksOfReserve(QueueOrder.RankedJob ranked) {
-        return plan.reserveHoldBack.isOpen()
-                        && hasRoom(ranked, pool -> pool.suits(ranked.job().spec, ranked.tier()))
-                        && plan.reserveHoldBack.admitsTask()
-                ? 1
-                : 0;
+        return Math.min(tasks, besideReserve);
     }
 
     /**
--- a/src/main/java/io/quincelead/scheduler/QueuePass.java
+++ b/src/main/java/io/quincelead/scheduler/QueuePass.java
@@ -32,7 +32,6 @@
     private final OwnerDrains ownerDrains;
     private final EscalationPolicy escalationPolicy;
     private final UnservedJobs unservedJobs;
-    private final HoldBackTimer reserveHoldBackTimer;
     private final HoldBackTimer gpuHoldBackTimer;
 
     /** When best-effort work may be placed again, in milliseconds on the loop's clock. */
@@ -66,7 +65,6 @@
         this.ownerDrains = new OwnerDrains(cluster);
         this.escalationPolicy = new EscalationPolicy(loop, capacityReader);
         this.unservedJobs = new UnservedJobs(loop, cluster.jobs());
-        this.reserveHoldBackTimer = new HoldBackTimer(loop);
         this.gpuHoldBackTimer = new HoldBackTimer(loop);
     }
 
@@ -109,7 +107,6 @@
         if (!workWaiting) {
             escalationPolicy.clear();
             unservedJobs.clear();
-            reserveHoldBackTimer.clear();
             gpuHoldBackTimer.clear();
             terminations.recordDue(plan);
             return;
@@ -119,7 +116,6 @@
                 cluster.constrainedDemand()
                                 .expectedUrgentCpus(SchedulerConstants.CONSTRAINED_RESERVE_SECONDS)
                         / (plan.leading ? 1 : Math.max(1, cluster.shards().shards().size()));
-        plan.reserveHoldBack = reserveHoldBackTimer.begin(false);
         plan.gpuHoldBack =
                 gpuHoldBackTimer.begin(isAnyOnGpus(candidates) || isAnyOnGpus(jobsAtLeader));
         plan.jobsWithinGuarantee = queueOrder.jobsWithinGuarantee(cluster.jobs().jobsOldestFirst());
@@ -237,7 +233,6 @@
         new QueueWalk(plan, placer, preemption, quotaSaving, escalation, unservedJobs, conditions)
                 .walk(queue, terminations);
         if (conditions.bestEffortDue()) {
-            reserveHoldBackTimer.end(plan.reserveHoldBack);
             gpuHoldBackTimer.end(plan.gpuHoldBack);
         }
         escalation.forgetPlacedJobs();
--- a/src/main/java/io/quincelead/scheduler/SchedulingPlan.java
+++ b/src/main/java/io/quincelead/scheduler/SchedulingPlan.java
@@ -86,9 +86,6 @@
     /** CPUs that best-effort work leaves free. */
     double reservedCpus;
 
-    /** Best-effort work that {@link #reservedCpus} alone hold back. */
-    HoldBack reserveHoldBack = new HoldBack(false);
-
     /** Work that is kept from machines only because others need their GPUs. */
     HoldBack gpuHoldBack = new HoldBack(false);
 
