--- a/review/standins/CaseWait.java
+++ b/review/standins/CaseWait.java
@@ -1,9 +1,7 @@
 package standins;
 
 import java.nio.file.Path;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 
 /**
  * One controller ends and is back 5 s later. Afterwards a user with one open connection, which leads to that
@@ -76,61 +74,10 @@
         second.realRunS = 60;
         second.runtimeS = 60;
         Http.Client user = new Http.Client(world.nodes.get(BACK).userAddress, 500);
-        submit(world, user, first);
+        Waiting.submit(world, user, first);
         Threads.sleep(1_200);
-        submit(world, user, second);
+        Waiting.submit(world, user, second);
 
-        long since = Threads.now();
-        long nextLine = 0;
-        while (Threads.now() < since + 90_000) {
-            if (world.rules.begunCount(second) > 0) {
-                world.finish(
-                        0, second.id + " began after " + (Threads.now() - since) / 1000.0 + " s");
-            }
-            Map<String, Double> free = new LinkedHashMap<>();
-            List<Cloud.Machine> present = world.cloud.present();
-            for (Cloud.Machine machine : present) {
-                free.put(machine.name, machine.worker.freeCpus(second.ramGb));
-            }
-            if (free.values().stream().noneMatch(cpus -> cpus >= second.vcpus)) {
-                world.finish(0, "no machine has room, after " + (Threads.now() - since) / 1000.0);
-            }
-            if (Threads.now() >= nextLine) {
-                nextLine = Threads.now() + 10_000;
-                String answer = ask(user, second);
-                world.say(
-                        second.id + " is " + answer + ", " + world.rules.begunCount(first)
-                                + " tasks of " + first.id + " began, free CPUs " + free);
-            }
-            Threads.sleep(250);
-        }
-        world.finish(
-                1,
-                second.id + " waits for 90 s, no task began, and at each look (every 0.25 s) a machine had"
-                        + " room for it; model-ops uses "
-                        + world.rules.usage().getOrDefault("model-ops", 0.0) + " of "
-                        + world.limits.get("model-ops") + " CPUs");
-    }
-
-    private static void submit(World world, Http.Client user, Job job) throws Exception {
-        world.jobs.put(job.id, job);
-        for (int attempt = 0; attempt < 20; attempt++) {
-            Http.Response response =
-                    user.call("POST", "/v2/runs", Cbor.encode(job.submission()), 5_000);
-            world.say("submit " + job.id + ": " + World.describe(response));
-            if (response.status() == 201 || response.status() == 200) {
-                return;
-            }
-            Threads.sleep(1_000);
-        }
-        world.finish(2, job.id + " is not accepted");
-    }
-
-    private static String ask(Http.Client user, Job job) {
-        try {
-            return World.describe(user.call("GET", "/v2/runs/" + job.id, null, 2_000));
-        } catch (Exception e) {
-            return e.toString();
-        }
+        Waiting.judge(world, user, first, second);
     }
 }
