A message that can't be encoded gets an outcome instead of stopping its sender

Cause: the decoders accept half of a surrogate pair, the encoders don't. The exception of WireFormat.encode left StoreClient.commit after its caller had begun to wait for the outcome, which therefore never came. GroupCommitter was where it showed; scheduling cycles, the leader, the autoscaler, policy, zones and barriers wait in the same way. Behind the response likewise: an exception of one listener ended the watch, one of a handler left others unanswered.

Change: MessageSender, below all calls to store and cloud, answers every call once (NOT_SENT); Transaction.Result.INVALID fails alone; requests with such a text are malformed (400); listeners and handlers run as IndependentSteps, and each exception is still thrown at the end; an invalid address fails its connection attempt. Why it works: every state that waits is left by the outcome, and the outcome no longer depends on what the message contains.

--- a/src/main/java/io/quincelead/api/JobCompleter.java
+++ b/src/main/java/io/quincelead/api/JobCompleter.java
@@ -76,7 +76,7 @@
 
     /** Moves one terminated job to its final key, unless that is in progress already. */
     void complete(Job job) {
-        if (completingJobIds.add(job.spec.jobId())) {
+        if (!completingJobIds.contains(job.spec.jobId())) {
             recordCompletion(job);
         }
     }
@@ -100,6 +100,7 @@
             transaction.requireRevision(shardKey, store.cache().modRevision(shardKey));
         }
         ObjectNode response = ApiCodec.encodeFinalStatus(jobId, status, completedTasks);
+        completingJobIds.add(jobId);
         store.committer()
                 .submit(
                         transaction,
--- a/src/main/java/io/quincelead/api/JobQueries.java
+++ b/src/main/java/io/quincelead/api/JobQueries.java
@@ -8,6 +8,7 @@
 import io.quincelead.config.constants.ApiConstants;
 import io.quincelead.config.constants.StoreConstants;
 import io.quincelead.eventloop.EventLoop;
+import io.quincelead.eventloop.IndependentSteps;
 import io.quincelead.store.StoreKeys;
 import io.quincelead.store.Transaction;
 import io.quincelead.transport.IncomingRequest;
@@ -137,7 +138,10 @@
                             comparison,
                             outcome -> {
                                 barriersInFlight--;
-                                batch.forEach(check -> answerQuery(check, outcome));
+                                IndependentSteps steps = new IndependentSteps();
+                                batch.forEach(
+                                        check -> steps.run(() -> answerQuery(check, outcome)));
+                                steps.throwFirstFailure();
                             });
         }
         if (!pendingQueries.isEmpty()) {
--- a/src/main/java/io/quincelead/api/JobSubmissions.java
+++ b/src/main/java/io/quincelead/api/JobSubmissions.java
@@ -41,7 +41,7 @@
     }
 
     void submit(IncomingRequest request) {
-        ObjectNode body = WireFormat.CBOR.decodeMap(request.body);
+        ObjectNode body = WireFormat.CBOR.decodeRequest(request.body);
         JobSpec spec;
         try {
             spec = JobSpec.decode(body);
@@ -86,23 +86,48 @@
      * isn't admitted to a cycle.
      */
     private void recordJob(Job job, IncomingRequest request) {
+        boolean admitted =
+                admission.admit(
+                        job,
+                        ApiConstants.USER_REQUEST_TIMEOUT_MILLIS,
+                        outcome -> {
+                            if (outcome.result() == Transaction.Result.INVALID) {
+                                // Any part of the cycle's transaction may be what is invalid.
+                                commitRecord(job, request);
+                            } else {
+                                respond(job.spec.jobId(), request, outcome);
+                            }
+                        });
+        if (!admitted) {
+            commitRecord(job, request);
+        }
+    }
+
+    private void commitRecord(Job job, IncomingRequest request) {
         String jobId = job.spec.jobId();
-        Transaction.OutcomeHandler onOutcome =
-                outcome -> {
-                    switch (outcome.result()) {
-                        case COMMITTED -> request.respond(201, ApiCodec.encodeAccepted(jobId));
-                        case CONFLICT -> queries.query(jobId, request);
-                        default -> ApiResponses.respondStoreUnavailable(request);
-                    }
-                };
-        if (!admission.admit(job, ApiConstants.USER_REQUEST_TIMEOUT_MILLIS, onOutcome)) {
-            Transaction transaction =
-                    new Transaction()
-                            .requireRevision(job.storeKey(), 0)
-                            .requireRevision(StoreKeys.FINAL_STATE_PREFIX + jobId, 0)
-                            .put(job.storeKey(), job.encode());
-            store.committer()
-                    .submit(transaction, ApiConstants.USER_REQUEST_TIMEOUT_MILLIS, onOutcome);
+        Transaction transaction =
+                new Transaction()
+                        .requireRevision(job.storeKey(), 0)
+                        .requireRevision(StoreKeys.FINAL_STATE_PREFIX + jobId, 0)
+                        .put(job.storeKey(), job.encode());
+        store.committer()
+                .submit(
+                        transaction,
+                        ApiConstants.USER_REQUEST_TIMEOUT_MILLIS,
+                        outcome -> respond(jobId, request, outcome));
+    }
+
+    private void respond(String jobId, IncomingRequest request, Transaction.Outcome outcome) {
+        switch (outcome.result()) {
+            case COMMITTED -> request.respond(201, ApiCodec.encodeAccepted(jobId));
+            case CONFLICT -> queries.query(jobId, request);
+            case INVALID ->
+                    queries.query(
+                            jobId,
+                            request,
+                            ApiResponses.BAD_REQUEST,
+                            "the job's description can't be recorded");
+            default -> ApiResponses.respondStoreUnavailable(request);
         }
     }
 
--- a/src/main/java/io/quincelead/autoscaler/CloudClient.java
+++ b/src/main/java/io/quincelead/autoscaler/CloudClient.java
@@ -5,6 +5,7 @@
 import io.quincelead.config.Settings;
 import io.quincelead.config.constants.AutoscalerConstants;
 import io.quincelead.eventloop.EventLoop;
+import io.quincelead.transport.MessageSender;
 import io.quincelead.transport.RateLimiter;
 import io.quincelead.transport.Transport;
 import io.quincelead.transport.WireFormat;
@@ -18,16 +19,15 @@
  */
 final class CloudClient {
     private final EventLoop eventLoop;
-    private final Transport transport;
-    private final String cloudAddress;
+    private final MessageSender sender;
     private final RateLimiter rateLimiter;
     private final ArrayDeque<Runnable> pendingCalls = new ArrayDeque<>();
     private boolean isSendScheduled;
 
     CloudClient(EventLoop eventLoop, Transport transport, Settings settings) {
         this.eventLoop = eventLoop;
-        this.transport = transport;
-        this.cloudAddress = settings.cloudAddress();
+        this.sender =
+                new MessageSender(eventLoop, transport, settings.cloudAddress(), WireFormat.CBOR);
         this.rateLimiter =
                 new RateLimiter(eventLoop, settings.cloudLimits().requestsPerSecond() * 0.9, 1.5);
     }
@@ -113,12 +113,10 @@
             ResponseHandler handler) {
         Runnable sendCall =
                 () ->
-                        transport.call(
-                                cloudAddress,
+                        sender.send(
                                 method,
                                 path,
-                                WireFormat.CBOR,
-                                body == null ? null : WireFormat.CBOR.encode(body),
+                                body,
                                 AutoscalerConstants.CLOUD_REQUEST_TIMEOUT_MILLIS,
                                 (status, responseBytes) ->
                                         handleResponse(path, status, responseBytes, handler));
--- a/src/main/java/io/quincelead/autoscaler/CloudCodec.java
+++ b/src/main/java/io/quincelead/autoscaler/CloudCodec.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quincelead.cluster.MachineTypeCatalog.MachineType;
+import io.quincelead.transport.Transport;
 import io.quincelead.transport.WireFormat;
 import java.util.ArrayList;
 import java.util.List;
@@ -79,7 +80,7 @@
             response.path("hosts").forEach(host -> hosts.add(host.asText()));
             return new ProvisioningResult.Provisioned(hosts);
         }
-        if (status == 400) {
+        if (status == 400 || status == Transport.NOT_SENT) {
             return new ProvisioningResult.Malformed();
         }
         if (status == 503
--- a/src/main/java/io/quincelead/peer/PeerMessageCodec.java
+++ b/src/main/java/io/quincelead/peer/PeerMessageCodec.java
@@ -18,7 +18,7 @@
 
     /** Parses any message; null if the body is no JSON object with the sender's member id. */
     static ObjectNode parse(byte[] body) {
-        ObjectNode message = WireFormat.JSON.decodeMap(body);
+        ObjectNode message = WireFormat.JSON.decodeRequest(body);
         return message == null || !message.path("from").isTextual() ? null : message;
     }
 
--- a/src/main/java/io/quincelead/policy/OperatorApi.java
+++ b/src/main/java/io/quincelead/policy/OperatorApi.java
@@ -87,7 +87,7 @@
 
     /** Answers a request at a path where a command is registered. */
     public void handle(IncomingRequest request) {
-        ObjectNode body = WireFormat.JSON.decodeMap(request.body);
+        ObjectNode body = WireFormat.JSON.decodeRequest(request.body);
         Responder responder =
                 (status, out) -> {
                     out.put("by", memberId)
@@ -144,6 +144,7 @@
                                         409,
                                         "somebody else has changed this meanwhile; look again and"
                                                 + " repeat");
+                        case INVALID -> responder.respondError(400, "the change can't be recorded");
                         case THROTTLED, REJECTED ->
                                 responder.respondError(
                                         503, "the state service took nothing; repeat later");
--- a/src/main/java/io/quincelead/scheduler/AdmissionQueue.java
+++ b/src/main/java/io/quincelead/scheduler/AdmissionQueue.java
@@ -4,6 +4,7 @@
 import io.quincelead.cluster.JobTable;
 import io.quincelead.config.constants.StoreConstants;
 import io.quincelead.eventloop.EventLoop;
+import io.quincelead.eventloop.IndependentSteps;
 import io.quincelead.store.StoreKeys;
 import io.quincelead.store.Transaction;
 import java.util.ArrayDeque;
@@ -82,6 +83,7 @@
      * the next cycle instead.
      */
     void respond(List<Submission> taken, Transaction.Outcome outcome) {
+        IndependentSteps steps = new IndependentSteps();
         for (int i = taken.size() - 1; i >= 0; i--) {
             Submission submission = taken.get(i);
             if (outcome.result() == Transaction.Result.THROTTLED
@@ -89,9 +91,10 @@
                             && !concerns(outcome, submission.job)) {
                 waiting.addFirst(submission);
             } else {
-                submission.onOutcome.onOutcome(outcome);
+                steps.run(() -> submission.onOutcome.onOutcome(outcome));
             }
         }
+        steps.throwFirstFailure();
     }
 
     private static boolean concerns(Transaction.Outcome outcome, Job job) {
--- a/src/main/java/io/quincelead/scheduler/SchedulingCycle.java
+++ b/src/main/java/io/quincelead/scheduler/SchedulingCycle.java
@@ -10,6 +10,7 @@
 import io.quincelead.config.constants.SchedulerConstants;
 import io.quincelead.config.constants.StoreConstants;
 import io.quincelead.eventloop.EventLoop;
+import io.quincelead.eventloop.IndependentSteps;
 import io.quincelead.store.IndeterminateWriteFence;
 import io.quincelead.store.MembershipLease;
 import io.quincelead.store.StoreAccess;
@@ -209,11 +210,26 @@
                 Math.max(1, atMillis - loop.nowMillis()),
                 () -> {
                     if (scheduledAtMillis == atMillis) {
-                        runCycle();
+                        runCycleOrBecomeIdle();
                     }
                 });
     }
 
+    /**
+     * Runs a cycle. An exception abandons the cycle and is thrown again, but doesn't prevent the
+     * next one.
+     */
+    private void runCycleOrBecomeIdle() {
+        try {
+            runCycle();
+        } catch (RuntimeException failure) {
+            if (scheduledAtMillis == Long.MAX_VALUE && phase != Phase.COMMITTING) {
+                transitionTo(Phase.IDLE);
+            }
+            throw failure;
+        }
+    }
+
     private void backOff(long delayMillis) {
         transitionTo(Phase.BACKING_OFF);
         scheduleAt(loop.nowMillis() + delayMillis);
@@ -314,9 +330,6 @@
         try {
             return makePlan(writeBudget, admitted);
         } catch (RuntimeException failure) {
-            // The exception is rethrown, but must not end all cycles: this cycle is abandoned, and
-            // the phase is idle again for the next event.
-            transitionTo(Phase.IDLE);
             admissionQueue.respond(
                     admitted, new Transaction.Outcome(Transaction.Result.REJECTED, 0, Set.of()));
             throw failure;
@@ -355,12 +368,17 @@
                 outcome -> {
                     transitionTo(Phase.IDLE);
                     fence.onOutcome(plan.transaction, outcome);
+                    IndependentSteps steps = new IndependentSteps();
                     if (outcome.result() == Transaction.Result.COMMITTED) {
-                        watchCache.applyCommitted(plan.transaction, outcome.storeRevision());
+                        steps.run(
+                                () ->
+                                        watchCache.applyCommitted(
+                                                plan.transaction, outcome.storeRevision()));
                     }
-                    admissionQueue.respond(admitted, outcome);
-                    requestNextCycle(outcome, moreToDo);
-                    onCycleFinished.run();
+                    steps.run(() -> admissionQueue.respond(admitted, outcome));
+                    steps.run(() -> requestNextCycle(outcome, moreToDo));
+                    steps.run(onCycleFinished);
+                    steps.throwFirstFailure();
                 });
     }
 
--- a/src/main/java/io/quincelead/store/GroupCommitter.java
+++ b/src/main/java/io/quincelead/store/GroupCommitter.java
@@ -2,6 +2,7 @@
 
 import io.quincelead.config.constants.StoreConstants;
 import io.quincelead.eventloop.EventLoop;
+import io.quincelead.eventloop.IndependentSteps;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -9,8 +10,8 @@
 
 /**
  * Group commit for small independent transactions (submissions, cancellations, final states): those
- * pending at the same time are merged into one. If a merged transaction fails on a precondition,
- * each of its parts is committed alone, so that one conflict doesn't fail the others.
+ * pending at the same time are merged into one. If a merged transaction fails on a precondition or
+ * is invalid, each of its parts is committed alone, so that one of them doesn't fail the others.
  */
 public final class GroupCommitter {
     private final EventLoop loop;
@@ -61,7 +62,13 @@
     }
 
     private void commitNextBatch() {
-        rejectExpired(loop.nowMillis());
+        IndependentSteps steps = new IndependentSteps();
+        rejectExpired(loop.nowMillis(), steps);
+        steps.run(this::sendNextBatch);
+        steps.throwFirstFailure();
+    }
+
+    private void sendNextBatch() {
         if (busy || pending.isEmpty()) {
             return;
         }
@@ -80,11 +87,12 @@
                 });
     }
 
-    private void rejectExpired(long nowMillis) {
+    private void rejectExpired(long nowMillis, IndependentSteps steps) {
+        Transaction.Outcome expired =
+                new Transaction.Outcome(Transaction.Result.REJECTED, 0, Set.of());
         while (!pending.isEmpty() && pending.peekFirst().deadlineMillis < nowMillis) {
-            pending.pollFirst()
-                    .handler
-                    .onOutcome(new Transaction.Outcome(Transaction.Result.REJECTED, 0, Set.of()));
+            Transaction.OutcomeHandler handler = pending.pollFirst().handler;
+            steps.run(() -> handler.onOutcome(expired));
         }
     }
 
@@ -120,9 +128,6 @@
             Transaction batchTransaction,
             List<PendingTransaction> batch,
             Transaction.Outcome outcome) {
-        if (outcome.result() == Transaction.Result.COMMITTED) {
-            watchCache.applyCommitted(batchTransaction, outcome.storeRevision());
-        }
         if (outcome.result() == Transaction.Result.THROTTLED) {
             // Nothing was applied. The batch is retried; each of its transactions is rejected at
             // its own deadline.
@@ -130,12 +135,22 @@
             resumeAfterDelay();
             return;
         }
-        if (outcome.result() == Transaction.Result.CONFLICT && batch.size() > 1) {
+        IndependentSteps steps = new IndependentSteps();
+        if (outcome.result() == Transaction.Result.COMMITTED) {
+            steps.run(() -> watchCache.applyCommitted(batchTransaction, outcome.storeRevision()));
+        }
+        if (batch.size() > 1 && isCausedByOnePart(outcome)) {
             requeue(batch, true);
         } else {
-            batch.forEach(entry -> entry.handler.onOutcome(outcome));
+            batch.forEach(entry -> steps.run(() -> entry.handler.onOutcome(outcome)));
         }
-        commitNextBatch();
+        steps.run(this::commitNextBatch);
+        steps.throwFirstFailure();
+    }
+
+    private static boolean isCausedByOnePart(Transaction.Outcome outcome) {
+        return outcome.result() == Transaction.Result.CONFLICT
+                || outcome.result() == Transaction.Result.INVALID;
     }
 
     /** Puts a batch back at the head of the queue in its original order. */
--- a/src/main/java/io/quincelead/store/StoreClient.java
+++ b/src/main/java/io/quincelead/store/StoreClient.java
@@ -4,6 +4,7 @@
 import io.quincelead.config.Settings;
 import io.quincelead.config.constants.StoreConstants;
 import io.quincelead.eventloop.EventLoop;
+import io.quincelead.transport.MessageSender;
 import io.quincelead.transport.RateLimiter;
 import io.quincelead.transport.Transport;
 import io.quincelead.transport.WireFormat;
@@ -16,9 +17,7 @@
  */
 public final class StoreClient {
     private static final Logger LOG = LoggerFactory.getLogger(StoreClient.class);
-    private final EventLoop loop;
-    private final Transport transport;
-    private final String storeAddress;
+    private final MessageSender sender;
     private final int maxTransactionOperations;
     private final RateLimiter requestBudget;
     private final RateLimiter writeBudget;
@@ -33,9 +32,7 @@
 
     /** Creates a client that sends its requests over this transport. */
     public StoreClient(EventLoop loop, Transport transport, Settings settings) {
-        this.loop = loop;
-        this.transport = transport;
-        this.storeAddress = settings.storeAddress();
+        this.sender = new MessageSender(loop, transport, settings.storeAddress(), WireFormat.CBOR);
         this.maxTransactionOperations = settings.storeLimits().maxTransactionOperations();
         this.requestBudget =
                 new RateLimiter(
@@ -63,7 +60,8 @@
         /**
          * Called once per request.
          *
-         * @param status the HTTP status, or {@link Transport#NO_RESPONSE}
+         * @param status the HTTP status, {@link Transport#NO_RESPONSE} or {@link
+         *     Transport#NOT_SENT}
          * @param body the decoded body; null if the response has none or it isn't a map. With
          *     status 200 it is null only for the renewal or revocation of a lease
          */
@@ -82,12 +80,10 @@
             long timeoutMillis,
             ResponseHandler handler) {
         requestBudget.takeUnconditionally(1);
-        transport.call(
-                storeAddress,
+        sender.send(
                 method,
                 path,
-                WireFormat.CBOR,
-                body == null ? null : WireFormat.CBOR.encode(body),
+                body,
                 timeoutMillis,
                 (status, bytes) -> {
                     ObjectNode responseBody = WireFormat.CBOR.decodeMap(bytes);
@@ -258,7 +254,13 @@
                     } else if (status == 400) {
                         LOG.info("the store rejected a transaction: {}", body);
                     }
-                    handler.onOutcome(StoreCodec.decodeOutcome(status, body));
+                    Transaction.Outcome outcome = StoreCodec.decodeOutcome(status, body);
+                    if (outcome.result() == Transaction.Result.INVALID) {
+                        LOG.error(
+                                "the transaction on {} can't be committed",
+                                transaction.operations().keySet());
+                    }
+                    handler.onOutcome(outcome);
                 });
     }
 }
--- a/src/main/java/io/quincelead/store/StoreCodec.java
+++ b/src/main/java/io/quincelead/store/StoreCodec.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quincelead.transport.Transport;
 import io.quincelead.transport.WireFormat;
 import java.util.Collections;
 import java.util.HashSet;
@@ -77,6 +78,7 @@
                     new Transaction.Outcome(
                             Transaction.Result.CONFLICT, storeRevision, failedKeys(body));
             case 429 -> outcome(Transaction.Result.THROTTLED, storeRevision);
+            case Transport.NOT_SENT -> outcome(Transaction.Result.INVALID, 0);
             case 400, 503 -> outcome(Transaction.Result.REJECTED, storeRevision);
             default -> outcome(Transaction.Result.INDETERMINATE, 0);
         };
--- a/src/main/java/io/quincelead/store/Transaction.java
+++ b/src/main/java/io/quincelead/store/Transaction.java
@@ -166,10 +166,12 @@
          * at present.
          */
         THROTTLED,
+        /** Certainly not applied, because of an outage, an expired lease or a malformed request. */
+        REJECTED,
         /**
-         * Certainly not applied, because of an outage, an expired lease or an invalid transaction.
+         * Certainly not applied, and never will be as it stands: a key or value can't be encoded.
          */
-        REJECTED,
+        INVALID,
         /**
          * No conclusive response: the transaction may have been applied, or may still be applied
          * later.
--- a/src/main/java/io/quincelead/store/WatchCache.java
+++ b/src/main/java/io/quincelead/store/WatchCache.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quincelead.config.constants.StoreConstants;
 import io.quincelead.eventloop.EventLoop;
+import io.quincelead.eventloop.IndependentSteps;
 import io.quincelead.transport.Transport;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -19,7 +20,8 @@
  * Follows the live keys of the store with a single watch, so that changes arrive in the order of
  * the store's revisions, and passes each key's value to the listener of its prefix. This process's
  * own transactions are applied as soon as the store confirms them; an older change of the same key
- * that the watch delivers later has a lower mod revision and is ignored.
+ * that the watch delivers later has a lower mod revision and is ignored. An exception of a listener
+ * affects no other change and doesn't end the watch.
  */
 public final class WatchCache {
     private static final Logger LOG = LoggerFactory.getLogger(WatchCache.class);
@@ -57,19 +59,6 @@
      */
     private final Object2LongHashMap<String> tombstones = new Object2LongHashMap<>(0);
 
-    private final StoreCodec.ChangeSink changeSink =
-            new StoreCodec.ChangeSink() {
-                @Override
-                public void onPut(String key, JsonNode value, long modRevision) {
-                    applyPut(key, value, modRevision);
-                }
-
-                @Override
-                public void onRemove(String key, long revision) {
-                    applyRemove(key, revision);
-                }
-            };
-
     private final long minWatchIntervalMillis;
     private Phase phase = Phase.EMPTY;
     private boolean synced;
@@ -165,12 +154,14 @@
                             firstPageRevision < 0
                                     ? StoreCodec.storeRevision(body)
                                     : firstPageRevision;
-                    String lastKey = applyPage(body, afterKey, snapshotRevision, seenKeys);
+                    IndependentSteps steps = new IndependentSteps();
+                    String lastKey = applyPage(body, afterKey, snapshotRevision, seenKeys, steps);
                     if (StoreCodec.isTruncated(body) && lastKey != null) {
                         readPage(lastKey, snapshotRevision, seenKeys);
                     } else {
-                        completeListing(snapshotRevision, seenKeys);
+                        completeListing(snapshotRevision, seenKeys, steps);
                     }
+                    steps.throwFirstFailure();
                 });
     }
 
@@ -179,7 +170,11 @@
      * is empty.
      */
     private String applyPage(
-            ObjectNode page, String afterKey, long snapshotRevision, Set<String> seenKeys) {
+            ObjectNode page,
+            String afterKey,
+            long snapshotRevision,
+            Set<String> seenKeys,
+            IndependentSteps steps) {
         String lastKey = afterKey;
         for (JsonNode item : StoreCodec.items(page)) {
             lastKey = StoreCodec.key(item);
@@ -188,22 +183,24 @@
             // revision order: a task state page must not be applied before its job.
             long modRevision = StoreCodec.modRevision(item);
             if (modRevision <= snapshotRevision) {
-                applyPut(lastKey, StoreCodec.value(item), modRevision);
+                String key = lastKey;
+                steps.run(() -> applyPut(key, StoreCodec.value(item), modRevision));
             }
         }
         return lastKey;
     }
 
-    private void completeListing(long snapshotRevision, Set<String> seenKeys) {
+    private void completeListing(
+            long snapshotRevision, Set<String> seenKeys, IndependentSteps steps) {
         for (String key : new ArrayList<>(modRevisions.keySet())) {
             if (!seenKeys.contains(key) && modRevision(key) <= snapshotRevision) {
-                applyRemove(key, snapshotRevision);
+                steps.run(() -> applyRemove(key, snapshotRevision));
             }
         }
         storeRevision = Math.max(storeRevision, snapshotRevision);
         synced = true;
         transitionTo(Phase.WATCHING);
-        notifyChangeListeners();
+        notifyChangeListeners(steps);
         watch();
     }
 
@@ -225,22 +222,40 @@
                                 this::watch);
                         return;
                     }
-                    boolean changed = StoreCodec.decodeChanges(body, changeSink);
-                    storeRevision = Math.max(storeRevision, StoreCodec.storeRevision(body));
-                    if (!tombstones.isEmpty()) {
-                        tombstones
-                                .entrySet()
-                                .removeIf(tombstone -> tombstone.getValue() <= storeRevision);
-                    }
-                    if (changed) {
-                        notifyChangeListeners();
-                    }
+                    IndependentSteps steps = new IndependentSteps();
+                    applyChanges(body, steps);
                     loop.runAfter(
                             Math.max(0, minWatchIntervalMillis - (loop.nowMillis() - sentAtMillis)),
                             this::watch);
+                    steps.throwFirstFailure();
                 });
     }
 
+    private void applyChanges(ObjectNode body, IndependentSteps steps) {
+        boolean changed = StoreCodec.decodeChanges(body, changeSink(steps));
+        storeRevision = Math.max(storeRevision, StoreCodec.storeRevision(body));
+        if (!tombstones.isEmpty()) {
+            tombstones.entrySet().removeIf(tombstone -> tombstone.getValue() <= storeRevision);
+        }
+        if (changed) {
+            notifyChangeListeners(steps);
+        }
+    }
+
+    private StoreCodec.ChangeSink changeSink(IndependentSteps steps) {
+        return new StoreCodec.ChangeSink() {
+            @Override
+            public void onPut(String key, JsonNode value, long modRevision) {
+                steps.run(() -> applyPut(key, value, modRevision));
+            }
+
+            @Override
+            public void onRemove(String key, long revision) {
+                steps.run(() -> applyRemove(key, revision));
+            }
+        };
+    }
+
     /**
      * Applies a transaction of this process that the store has committed.
      *
@@ -248,25 +263,29 @@
      *     that the transaction put
      */
     public void applyCommitted(Transaction transaction, long modRevision) {
-        if (modRevision <= storeRevision) {
-            // The watch has passed this revision before the confirmation arrived: the keys that
-            // the transaction wrote may have been changed or removed since.
-            notifyChangeListeners();
+        IndependentSteps steps = new IndependentSteps();
+        // If the watch has passed this revision before the confirmation arrived, the keys that the
+        // transaction wrote may have been changed or removed since.
+        if (modRevision > storeRevision) {
+            transaction
+                    .operations()
+                    .forEach(
+                            (key, operation) ->
+                                    steps.run(() -> applyOwnChange(key, operation, modRevision)));
+        }
+        notifyChangeListeners(steps);
+        steps.throwFirstFailure();
+    }
+
+    private void applyOwnChange(String key, Transaction.Operation operation, long modRevision) {
+        if (!key.startsWith(StoreKeys.LIVE_PREFIX)) {
             return;
         }
-        for (Map.Entry<String, Transaction.Operation> entry : transaction.operations().entrySet()) {
-            String key = entry.getKey();
-            Transaction.Operation operation = entry.getValue();
-            if (!key.startsWith(StoreKeys.LIVE_PREFIX)) {
-                continue;
-            }
-            if (operation.isRemoval()) {
-                applyRemove(key, modRevision);
-            } else {
-                applyPut(key, operation.value(), modRevision);
-            }
+        if (operation.isRemoval()) {
+            applyRemove(key, modRevision);
+        } else {
+            applyPut(key, operation.value(), modRevision);
         }
-        notifyChangeListeners();
     }
 
     private void applyPut(String key, JsonNode value, long modRevision) {
@@ -304,7 +323,7 @@
         return null;
     }
 
-    private void notifyChangeListeners() {
-        changeListeners.forEach(Runnable::run);
+    private void notifyChangeListeners(IndependentSteps steps) {
+        changeListeners.forEach(steps::run);
     }
 }
--- a/src/main/java/io/quincelead/transport/HttpClient.java
+++ b/src/main/java/io/quincelead/transport/HttpClient.java
@@ -321,33 +321,44 @@
         long startedAtMillis = loop.nowMillis();
         target.connectAttemptsSinceMillis.addLast(startedAtMillis);
         sharedConnections += target.critical ? 0 : 1;
-        UndertowClient.getInstance()
-                .connect(
-                        new ClientCallback<>() {
-                            @Override
-                            public void completed(ClientConnection connection) {
-                                target.connectAttemptsSinceMillis.remove(startedAtMillis);
-                                target.openConnections++;
-                                addIdle(new IdleConnection(target, connection, loop.nowMillis()));
-                                dispatchCalls(target);
-                            }
+        ClientCallback<ClientConnection> callback = connectCallback(target, startedAtMillis);
+        try {
+            UndertowClient.getInstance()
+                    .connect(
+                            callback,
+                            URI.create("http://" + target.address),
+                            thread,
+                            bufferPool,
+                            OptionMap.create(Options.TCP_NODELAY, true));
+        } catch (RuntimeException e) {
+            // Machines and controllers state their addresses themselves; this one is invalid.
+            LOG.info("{}: {}", target.address, e.toString());
+            loop.runAfter(0, () -> callback.failed(new IOException(e)));
+        }
+    }
 
-                            @Override
-                            public void failed(IOException e) {
-                                target.connectAttemptsSinceMillis.remove(startedAtMillis);
-                                sharedConnections -= target.critical ? 0 : 1;
-                                Call firstWaiting = target.waitingCalls.peekFirst();
-                                if (firstWaiting != null) {
-                                    firstWaiting.complete(NO_RESPONSE, null, false);
-                                } else {
-                                    dispatchStalledCalls();
-                                }
-                            }
-                        },
-                        URI.create("http://" + target.address),
-                        thread,
-                        bufferPool,
-                        OptionMap.create(Options.TCP_NODELAY, true));
+    private ClientCallback<ClientConnection> connectCallback(Target target, long startedAtMillis) {
+        return new ClientCallback<>() {
+            @Override
+            public void completed(ClientConnection connection) {
+                target.connectAttemptsSinceMillis.remove(startedAtMillis);
+                target.openConnections++;
+                addIdle(new IdleConnection(target, connection, loop.nowMillis()));
+                dispatchCalls(target);
+            }
+
+            @Override
+            public void failed(IOException e) {
+                target.connectAttemptsSinceMillis.remove(startedAtMillis);
+                sharedConnections -= target.critical ? 0 : 1;
+                Call firstWaiting = target.waitingCalls.peekFirst();
+                if (firstWaiting != null) {
+                    firstWaiting.complete(NO_RESPONSE, null, false);
+                } else {
+                    dispatchStalledCalls();
+                }
+            }
+        };
     }
 
     private void send(Call call) {
--- a/src/main/java/io/quincelead/transport/HttpServer.java
+++ b/src/main/java/io/quincelead/transport/HttpServer.java
@@ -88,14 +88,14 @@
             exchange.setPersistent(false);
             exchange.dispatch(
                     SameThreadExecutor.INSTANCE,
-                    () -> handler.handle(new UndertowRequest(exchange, null)));
+                    () -> new UndertowRequest(exchange, null).handleWith(handler));
             return;
         }
         if (contentLength == null
                 && !exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)) {
             exchange.dispatch(
                     SameThreadExecutor.INSTANCE,
-                    () -> handler.handle(new UndertowRequest(exchange, new byte[0])));
+                    () -> new UndertowRequest(exchange, new byte[0]).handleWith(handler));
             return;
         }
         exchange.setMaxEntitySize(TransportConstants.MAX_BODY_BYTES);
@@ -104,11 +104,11 @@
                         readBuffer,
                         exchange.getRequestContentLength(),
                         TransportConstants.MAX_BODY_BYTES,
-                        bytes -> handler.handle(new UndertowRequest(exchange, bytes)),
+                        bytes -> new UndertowRequest(exchange, bytes).handleWith(handler),
                         failure -> {
                             // The body is too large, or its sender has disconnected.
                             exchange.setPersistent(false);
-                            handler.handle(new UndertowRequest(exchange, null));
+                            new UndertowRequest(exchange, null).handleWith(handler);
                         });
         exchange.dispatch(
                 SameThreadExecutor.INSTANCE,
--- a/src/main/java/io/quincelead/transport/IncomingRequest.java
+++ b/src/main/java/io/quincelead/transport/IncomingRequest.java
@@ -3,9 +3,14 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quincelead.config.constants.ApiConstants;
 import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** An inbound request. It is answered once, immediately or later, on the event loop. */
 public abstract class IncomingRequest {
+    private static final Logger LOG = LoggerFactory.getLogger(IncomingRequest.class);
+    private static final int INTERNAL_ERROR = 500;
+
     /** The HTTP method, in upper case. */
     public final String method;
 
@@ -63,11 +68,26 @@
             int status, WireFormat format, ObjectNode body, int retryAfterSeconds) {
         if (!responded) {
             responded = true;
-            sendResponse(
-                    status,
-                    format,
-                    body == null ? new byte[0] : format.encode(body),
-                    retryAfterSeconds);
+            try {
+                byte[] encoded = body == null ? new byte[0] : format.encode(body);
+                sendResponse(status, format, encoded, retryAfterSeconds);
+            } catch (EncodingException e) {
+                LOG.error("the response to {} {} can't be encoded: {}", method, path, e.toString());
+                sendResponse(INTERNAL_ERROR, format, new byte[0], 0);
+            }
+        }
+    }
+
+    /**
+     * Passes the request to a handler; answers it with an internal error if the handler throws an
+     * exception before it has responded.
+     */
+    final void handleWith(Handler handler) {
+        try {
+            handler.handle(this);
+        } catch (RuntimeException e) {
+            LOG.error("{} {} failed", method, path, e);
+            respondError(INTERNAL_ERROR, "internal error");
         }
     }
 
--- a/src/main/java/io/quincelead/transport/Transport.java
+++ b/src/main/java/io/quincelead/transport/Transport.java
@@ -8,13 +8,16 @@
      */
     int NO_RESPONSE = 0;
 
+    /** Status of a call that was certainly not executed: its body can't be encoded. */
+    int NOT_SENT = -1;
+
     /** Receives the response to one call. */
     @FunctionalInterface
     interface ResponseHandler {
         /**
          * Called once per call.
          *
-         * @param status HTTP status, or {@link Transport#NO_RESPONSE}
+         * @param status HTTP status, {@link Transport#NO_RESPONSE} or {@link Transport#NOT_SENT}
          * @param body the body; null without a response
          */
         void onResponse(int status, byte[] body);
--- a/src/main/java/io/quincelead/transport/WireFormat.java
+++ b/src/main/java/io/quincelead/transport/WireFormat.java
@@ -8,7 +8,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 
 /** The encodings of message bodies. */
 public enum WireFormat {
@@ -32,13 +31,17 @@
         return contentType;
     }
 
-    /** Encodes a value. */
+    /**
+     * Encodes a value.
+     *
+     * @throws EncodingException if one of its texts isn't well-formed Unicode
+     */
     public byte[] encode(JsonNode node) {
         try {
             return mapper.writeValueAsBytes(node);
         } catch (IOException e) {
             // Only memory is written to, so the node itself can't be encoded.
-            throw new UncheckedIOException(e);
+            throw new EncodingException(e);
         }
     }
 
@@ -59,6 +62,16 @@
         }
     }
 
+    /**
+     * Decodes the body of an inbound request. As {@link #decodeMap}, but also returns null if a
+     * text isn't well-formed Unicode: such a body isn't in this format, and no record or response
+     * can hold the text.
+     */
+    public ObjectNode decodeRequest(byte[] body) {
+        ObjectNode map = decodeMap(body);
+        return map != null && UnicodeText.isWellFormed(map) ? map : null;
+    }
+
     /**
      * Creates a parser that reads a body incrementally. The caller closes it.
      *
--- a/src/main/java/io/quincelead/worker/Heartbeat.java
+++ b/src/main/java/io/quincelead/worker/Heartbeat.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import io.quincelead.transport.UnicodeText;
 import io.quincelead.transport.WireFormat;
 import java.io.IOException;
 import java.util.HashMap;
@@ -182,10 +183,15 @@
         }
     }
 
+    /** Reads a text. Responses to the worker and records of its machine will contain it. */
     private static String readText(JsonParser parser, JsonToken token, String fallback)
             throws IOException {
         if (token == JsonToken.VALUE_STRING) {
-            return parser.getText();
+            String text = parser.getText();
+            if (!UnicodeText.isWellFormed(text)) {
+                throw new IOException("a text of the message isn't UTF-8");
+            }
+            return text;
         }
         parser.skipChildren();
         return fallback;
--- a/src/test/java/io/quincelead/store/GroupCommitterTest.java
+++ b/src/test/java/io/quincelead/store/GroupCommitterTest.java
@@ -1,6 +1,7 @@
 package io.quincelead.store;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quincelead.config.TestSettings;
@@ -49,8 +50,12 @@
     }
 
     private void submit(GroupCommitter committer, String key) {
+        submitValue(committer, key, WireFormat.newMap());
+    }
+
+    private void submitValue(GroupCommitter committer, String key, ObjectNode value) {
         committer.submit(
-                new Transaction().requireRevision(key, 0).put(key, WireFormat.newMap()),
+                new Transaction().requireRevision(key, 0).put(key, value),
                 1_000,
                 outcome -> outcomes.add(key + " " + outcome.result()));
     }
@@ -94,4 +99,43 @@
 
         assertEquals(List.of("a/j/1 REJECTED"), outcomes);
     }
+
+    /**
+     * A value that can't be encoded left the committer busy for good, and all commits unanswered.
+     */
+    @Test
+    void transactionThatCantBeEncodedFailsAlone() {
+        statuses.add(200);
+        GroupCommitter committer = newCommitter();
+
+        submit(committer, "a/j/1");
+        submitValue(committer, "a/j/2", WireFormat.newMap().put("c", "img-\ud83d"));
+        submit(committer, "a/j/3");
+        clock.runUntil(200);
+        submit(committer, "a/j/4");
+        clock.runUntil(500);
+
+        assertEquals(List.of(List.of("a/j/1"), List.of("a/j/3"), List.of("a/j/4")), commits);
+        assertEquals(
+                List.of("a/j/1 COMMITTED", "a/j/2 INVALID", "a/j/3 COMMITTED", "a/j/4 COMMITTED"),
+                outcomes);
+    }
+
+    /** An exception of one handler kept the outcome from the others of its batch. */
+    @Test
+    void exceptionOfAHandlerLeavesNoOtherUnanswered() {
+        statuses.add(200);
+        GroupCommitter committer = newCommitter();
+
+        committer.submit(
+                new Transaction().put("a/j/1", WireFormat.newMap()),
+                1_000,
+                outcome -> {
+                    throw new IllegalStateException("handler");
+                });
+        submit(committer, "a/j/2");
+        assertThrows(IllegalStateException.class, () -> clock.runUntil(500));
+
+        assertEquals(List.of("a/j/2 COMMITTED"), outcomes);
+    }
 }
--- a/src/test/java/io/quincelead/store/WatchCacheTest.java
+++ b/src/test/java/io/quincelead/store/WatchCacheTest.java
@@ -1,6 +1,7 @@
 package io.quincelead.store;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -13,6 +14,9 @@
 import org.junit.jupiter.api.Test;
 
 class WatchCacheTest {
+    /** Key of a record at which the listener throws an exception. */
+    private static final String FAILING_KEY = "a/j/wk-000009";
+
     private static void addItem(
             ObjectNode page, String list, String field, String key, long modRevision) {
         page.withArray("/" + list)
@@ -45,6 +49,9 @@
                 new WatchCache.PrefixListener() {
                     @Override
                     public void onPut(String key, JsonNode value, long modRevision) {
+                        if (key.equals(FAILING_KEY)) {
+                            throw new IllegalStateException(key);
+                        }
                         seenKeys.add(key);
                     }
 
@@ -80,4 +87,24 @@
                 seenKeys);
         assertEquals(12, watchCache.storeRevision());
     }
+
+    /** An exception in a listener dropped the rest of the response, and no watch followed. */
+    @Test
+    void exceptionOfAListenerNeitherDropsChangesNorEndsTheWatch() {
+        ObjectNode page = WireFormat.newMap().put("generation", 10).put("truncated", false);
+        page.putArray("items");
+        ObjectNode changes = WireFormat.newMap().put("generation", 12);
+        addItem(changes, "news", "put", FAILING_KEY, 11);
+        addItem(changes, "news", "put", "a/j/wk-000002", 12);
+        ObjectNode laterChanges = WireFormat.newMap().put("generation", 13);
+        addItem(laterChanges, "news", "put", "a/j/wk-000003", 13);
+        WatchCache watchCache = newCache(List.of(page, changes, laterChanges));
+
+        watchCache.start();
+        assertThrows(IllegalStateException.class, () -> clock.runUntil(1_000));
+        clock.runUntil(1_000);
+
+        assertEquals(List.of("a/j/wk-000002", "a/j/wk-000003"), seenKeys);
+        assertEquals(13, watchCache.storeRevision());
+    }
 }
--- a/src/test/java/io/quincelead/transport/ConnectionLimitsTest.java
+++ b/src/test/java/io/quincelead/transport/ConnectionLimitsTest.java
@@ -20,6 +20,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -214,4 +216,33 @@
         assertTrue(peakConnections.get() <= 5, "connections: " + peakConnections.get());
         assertTrue(successCount.get() >= 20, "answered: " + successCount.get());
     }
+
+    /** Each call to an address that a worker had misstated used up a shared connection for good. */
+    @ParameterizedTest
+    @ValueSource(strings = {"10.9.0.1 :9000", ":9000", "img-\ud83d:9000"})
+    void callsToAnInvalidAddressAreAnsweredAndKeepNoConnection(String address) throws Exception {
+        CountDownLatch answered = new CountDownLatch(3);
+        Set<Integer> statuses = new HashSet<>();
+        HttpClient client = new HttpClient(eventLoop(), worker.getIoThread(), Set.of(), 2);
+        worker.getIoThread()
+                .execute(
+                        () -> {
+                            for (int i = 0; i < 3; i++) {
+                                client.call(
+                                        address,
+                                        "GET",
+                                        "/show",
+                                        WireFormat.CBOR,
+                                        null,
+                                        1_000,
+                                        (status, body) -> {
+                                            statuses.add(status);
+                                            answered.countDown();
+                                        });
+                            }
+                        });
+        assertTrue(answered.await(5, TimeUnit.SECONDS));
+        assertEquals(Set.of(Transport.NO_RESPONSE), statuses);
+        assertEquals(0, client.sharedConnectionCount());
+    }
 }
