A watch whose changes exceed one response reads the records again; a stalled one leaves

Cause: HttpClient dropped a response over 8 MiB and said "no response", which means "ask again" to every caller; the watch got the same response for ever. Behind it nothing asked whether the watch makes progress: the lease, renewed by other requests, was all that counted.

Change: such a response has its own status, on which the watch takes the way of 410 (the limit is 2 MiB, since decoding takes several times that). WatchProgress names a watch without progress for 6 s while the store answers other requests STALLED, logs it and shows it in GET /ready; the controller then gives up its lease (SUSPENDED), so what it holds is reassigned as a lost controller's, and joins again when the watch goes on.

--- a/src/main/java/io/quincelead/app/ClusterState.java
+++ b/src/main/java/io/quincelead/app/ClusterState.java
@@ -50,6 +50,7 @@
                         MembershipLease.leaseMillis(
                                 operatorSettings.shardLeaseSeconds(),
                                 settings.workerTimings().leaseSeconds()));
+        watchCache.progress().addListener(lease::suspend, lease::resume);
         store = new StoreAccess(lease, watchCache, client);
         ClusterMembership membership = new ClusterMembership(settings, watchCache);
         JobTable jobs = new JobTable(loop, watchCache);
--- a/src/main/java/io/quincelead/app/Controller.java
+++ b/src/main/java/io/quincelead/app/Controller.java
@@ -1,5 +1,6 @@
 package io.quincelead.app;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quincelead.api.ApiCluster;
 import io.quincelead.api.ApiStore;
 import io.quincelead.api.UserApi;
@@ -13,6 +14,7 @@
 import io.quincelead.cluster.ZoneTable;
 import io.quincelead.config.OperatorSettings;
 import io.quincelead.config.Settings;
+import io.quincelead.config.constants.ApiConstants;
 import io.quincelead.config.constants.SchedulerConstants;
 import io.quincelead.config.constants.WorkerConstants;
 import io.quincelead.eventloop.EventLoop;
@@ -27,6 +29,7 @@
 import io.quincelead.store.GroupCommitter;
 import io.quincelead.store.StoreAccess;
 import io.quincelead.store.Transaction;
+import io.quincelead.store.WatchProgress;
 import io.quincelead.transport.IncomingRequest;
 import io.quincelead.transport.Transport;
 import io.quincelead.transport.WireFormat;
@@ -351,12 +354,10 @@
     public void handle(IncomingRequest request) {
         switch (request.path) {
             case "/ready" -> {
-                if (!request.method.equals("GET")) {
-                    request.respondError(405, "only GET is allowed here");
-                } else if (userApi.isReady()) {
-                    request.respond(200, WireFormat.newMap().put("ready", true));
+                if (request.method.equals("GET")) {
+                    respondReadiness(request);
                 } else {
-                    request.respondRetryLater(503, "not ready");
+                    request.respondError(405, "only GET is allowed here");
                 }
             }
             case "/v1/report" -> {
@@ -370,6 +371,24 @@
         }
     }
 
+    /** Answers a health check; the response also says how often and how long the watch stalled. */
+    private void respondReadiness(IncomingRequest request) {
+        WatchProgress progress = state.store().watchCache().progress();
+        ObjectNode body = WireFormat.newMap().put("watchStalls", progress.stallCount());
+        if (userApi.isReady()) {
+            request.respond(200, body.put("ready", true));
+            return;
+        }
+        if (progress.isStalled()) {
+            body.put("watchStalledMs", progress.millisSinceProgress());
+        }
+        request.respond(
+                503,
+                WireFormat.CBOR,
+                body.put("error", "not ready"),
+                ApiConstants.RETRY_AFTER_SECONDS);
+    }
+
     /** Handles a request of another controller or an operator. */
     public void handlePeerRequest(IncomingRequest request) {
         if (request.method.equals("POST") && operatorApi.handles(request.path)) {
--- a/src/main/java/io/quincelead/config/constants/TransportConstants.java
+++ b/src/main/java/io/quincelead/config/constants/TransportConstants.java
@@ -8,8 +8,11 @@
     /** Protocol limit, in bytes, of a request body and of a response to workers and users. */
     public static final int MAX_BODY_BYTES = 64 * 1024;
 
-    /** Largest response, in bytes, accepted from another service. */
-    public static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+    /**
+     * Largest response, in bytes, accepted from another service. Decoded, it takes several times as
+     * much of the heap.
+     */
+    public static final int MAX_RESPONSE_BYTES = 2 * 1024 * 1024;
 
     /** Timeout of a direct call to a worker or to another controller. */
     public static final long CLUSTER_CALL_TIMEOUT_MILLIS = 1_500;
--- a/src/main/java/io/quincelead/store/MembershipLease.java
+++ b/src/main/java/io/quincelead/store/MembershipLease.java
@@ -20,6 +20,11 @@
     private enum Phase {
         /** This controller has no lease. */
         NOT_MEMBER,
+        /**
+         * This controller has given up its lease, because it can't follow the records; it doesn't
+         * join.
+         */
+        SUSPENDED,
         /**
          * This controller has a lease; it revokes its predecessor's lease and announces its member
          * record.
@@ -117,6 +122,44 @@
         return leaseId;
     }
 
+    /**
+     * Gives up the membership, and with it the shard and the leadership, so that the other
+     * controllers take over at once. Lasts until {@link #resume}.
+     */
+    public void suspend() {
+        if (phase == Phase.SUSPENDED) {
+            return;
+        }
+        boolean hasLease = phase != Phase.NOT_MEMBER;
+        transitionTo(Phase.SUSPENDED);
+        if (hasLease) {
+            // If the store doesn't get this, the lease expires, since it isn't renewed any more.
+            revoke(leaseId);
+        }
+    }
+
+    /** Joins again after {@link #suspend}. */
+    public void resume() {
+        if (phase == Phase.SUSPENDED) {
+            join();
+        }
+    }
+
+    private void revoke(long revokedLeaseId) {
+        store.revokeLease(revokedLeaseId, (status, body) -> {});
+    }
+
+    /** Takes a step of joining after a delay, unless the phase isn't the expected one by then. */
+    private void retryIn(Phase expected, Runnable step) {
+        loop.runAfter(
+                StoreConstants.RETRY_DELAY_MILLIS,
+                () -> {
+                    if (phase == expected) {
+                        step.run();
+                    }
+                });
+    }
+
     private void join() {
         transitionTo(Phase.NOT_MEMBER);
         long sentAtMillis = loop.nowMillis();
@@ -125,8 +168,12 @@
                 (status, body) -> {
                     OptionalLong createdLeaseId =
                             status == 200 ? StoreCodec.leaseId(body) : OptionalLong.empty();
+                    if (phase != Phase.NOT_MEMBER) {
+                        createdLeaseId.ifPresent(this::revoke);
+                        return;
+                    }
                     if (createdLeaseId.isEmpty()) {
-                        loop.runAfter(StoreConstants.RETRY_DELAY_MILLIS, this::join);
+                        retryIn(Phase.NOT_MEMBER, this::join);
                         return;
                     }
                     leaseId = createdLeaseId.getAsLong();
@@ -142,6 +189,9 @@
      * expires.
      */
     private void revokePredecessorLease() {
+        if (phase != Phase.JOINING) {
+            return;
+        }
         store.get(
                 StoreKeys.MEMBER_PREFIX + memberId,
                 (status, body) -> {
@@ -150,8 +200,7 @@
                         return;
                     }
                     if (status != 200) {
-                        loop.runAfter(
-                                StoreConstants.RETRY_DELAY_MILLIS, this::revokePredecessorLease);
+                        retryIn(Phase.JOINING, this::revokePredecessorLease);
                         return;
                     }
                     OptionalLong recordedLeaseId = StoreCodec.leaseId(body);
@@ -192,15 +241,12 @@
                             transitionTo(Phase.MEMBER);
                         }
                         case REJECTED ->
-                                loop.runAfter(
-                                        StoreConstants.RETRY_DELAY_MILLIS,
+                                retryIn(
+                                        Phase.JOINING,
                                         loop.nowMillis() < validUntilMillis
                                                 ? this::revokePredecessorLease
                                                 : this::join);
-                        default ->
-                                loop.runAfter(
-                                        StoreConstants.RETRY_DELAY_MILLIS,
-                                        this::revokePredecessorLease);
+                        default -> retryIn(Phase.JOINING, this::revokePredecessorLease);
                     }
                 });
     }
@@ -222,14 +268,14 @@
                     memberId,
                     recordedLeaseId,
                     leaseId);
-            store.revokeLease(leaseId, (status, body) -> {});
+            revoke(leaseId);
             join();
         }
     }
 
     /** Renews the lease unless a renewal is still in flight. */
     private void renew() {
-        if (phase == Phase.NOT_MEMBER || renewalInFlight) {
+        if (phase == Phase.NOT_MEMBER || phase == Phase.SUSPENDED || renewalInFlight) {
             return;
         }
         renewalInFlight = true;
@@ -239,7 +285,7 @@
                 renewedLeaseId,
                 (status, body) -> {
                     renewalInFlight = false;
-                    if (renewedLeaseId == leaseId) {
+                    if (renewedLeaseId == leaseId && phase != Phase.SUSPENDED) {
                         onRenewalResponse(status, sentAtMillis);
                     }
                 });
--- a/src/main/java/io/quincelead/store/StoreClient.java
+++ b/src/main/java/io/quincelead/store/StoreClient.java
@@ -21,6 +21,7 @@
     private final int maxTransactionOperations;
     private final RateLimiter requestBudget;
     private final RateLimiter writeBudget;
+    private long answeredRequests;
     private boolean writesDelayed;
     private boolean writesThrottled;
 
@@ -60,8 +61,7 @@
         /**
          * Called once per request.
          *
-         * @param status the HTTP status, {@link Transport#NO_RESPONSE} or {@link
-         *     Transport#NOT_SENT}
+         * @param status the HTTP status, or one of the constants of {@link Transport}
          * @param body the decoded body; null if the response has none or it isn't a map. With
          *     status 200 it is null only for the renewal or revocation of a lease
          */
@@ -90,6 +90,9 @@
                     if (status == 429) {
                         requestBudget.drain();
                     }
+                    if (isAnswer(status)) {
+                        answeredRequests++;
+                    }
                     if (status == 200
                             && responseBody == null
                             && !method.equals("DELETE")
@@ -106,6 +109,15 @@
                 });
     }
 
+    private static boolean isAnswer(int status) {
+        return status == 200 || status == 404 || status == 409;
+    }
+
+    /** How many requests the store has executed and answered. */
+    long answeredRequests() {
+        return answeredRequests;
+    }
+
     /** Reads one key, linearizably. The status is 404 if the key doesn't exist. */
     public void get(String key, ResponseHandler handler) {
         call("GET", "/store/" + key, null, StoreConstants.REQUEST_TIMEOUT_MILLIS, handler);
--- a/src/main/java/io/quincelead/store/WatchCache.java
+++ b/src/main/java/io/quincelead/store/WatchCache.java
@@ -59,6 +59,7 @@
      */
     private final Object2LongHashMap<String> tombstones = new Object2LongHashMap<>(0);
 
+    private final WatchProgress progress;
     private final long minWatchIntervalMillis;
     private Phase phase = Phase.EMPTY;
     private boolean synced;
@@ -73,6 +74,7 @@
     public WatchCache(EventLoop loop, StoreClient store, double requestsPerSecond) {
         this.loop = loop;
         this.store = store;
+        this.progress = new WatchProgress(loop, store);
         this.minWatchIntervalMillis =
                 (long)
                         Math.max(
@@ -104,6 +106,11 @@
         return synced;
     }
 
+    /** Whether and for how long the cache hasn't followed the store. */
+    public WatchProgress progress() {
+        return progress;
+    }
+
     /** The store revision up to which every change has been applied. */
     public long storeRevision() {
         return storeRevision;
@@ -147,6 +154,7 @@
                 afterKey,
                 (status, body) -> {
                     if (status != 200 || !StoreCodec.isPage(body)) {
+                        progress.onFailure();
                         loop.runAfter(StoreConstants.RETRY_DELAY_MILLIS, this::relist);
                         return;
                     }
@@ -200,6 +208,7 @@
         storeRevision = Math.max(storeRevision, snapshotRevision);
         synced = true;
         transitionTo(Phase.WATCHING);
+        progress.onProgress();
         notifyChangeListeners(steps);
         watch();
     }
@@ -210,11 +219,17 @@
                 StoreKeys.LIVE_PREFIX,
                 storeRevision,
                 (status, body) -> {
-                    if (status == 410) {
+                    if (status == 410 || status == Transport.RESPONSE_TOO_LARGE) {
+                        LOG.info(
+                                "the changes after revision {} can't be had in one response"
+                                        + " ({}): all records are read again",
+                                storeRevision,
+                                status);
                         relist();
                         return;
                     }
                     if (status != 200) {
+                        progress.onFailure();
                         loop.runAfter(
                                 status == Transport.NO_RESPONSE
                                         ? 0
@@ -224,6 +239,7 @@
                     }
                     IndependentSteps steps = new IndependentSteps();
                     applyChanges(body, steps);
+                    progress.onProgress();
                     loop.runAfter(
                             Math.max(0, minWatchIntervalMillis - (loop.nowMillis() - sentAtMillis)),
                             this::watch);
--- a/src/main/java/io/quincelead/transport/BodyReader.java
+++ b/src/main/java/io/quincelead/transport/BodyReader.java
@@ -14,6 +14,7 @@
  */
 final class BodyReader implements ChannelListener<StreamSourceChannel> {
     private final ByteBuffer buffer;
+    private final long expectedBytes;
     private final int maxBytes;
     private final Consumer<byte[]> onComplete;
     private final Consumer<IOException> onFailure;
@@ -35,6 +36,7 @@
             Consumer<byte[]> onComplete,
             Consumer<IOException> onFailure) {
         this.buffer = buffer;
+        this.expectedBytes = expectedBytes;
         this.maxBytes = maxBytes;
         this.onComplete = onComplete;
         this.onFailure = onFailure;
@@ -60,8 +62,8 @@
                     return;
                 }
                 body.write(buffer.array(), 0, bytesRead);
-                if (body.size() > maxBytes) {
-                    throw new IOException("the body is too large");
+                if (body.size() > maxBytes || expectedBytes > maxBytes) {
+                    throw new BodyTooLargeException(maxBytes);
                 }
             }
         } catch (IOException e) {
--- a/src/main/java/io/quincelead/transport/HttpClient.java
+++ b/src/main/java/io/quincelead/transport/HttpClient.java
@@ -456,7 +456,12 @@
                                     call.address,
                                     call.path,
                                     failure.toString());
-                            call.complete(NO_RESPONSE, null, false);
+                            call.complete(
+                                    failure instanceof BodyTooLargeException
+                                            ? RESPONSE_TOO_LARGE
+                                            : NO_RESPONSE,
+                                    null,
+                                    false);
                         })
                 .handleEvent(exchange.getResponseChannel());
     }
--- a/src/main/java/io/quincelead/transport/Transport.java
+++ b/src/main/java/io/quincelead/transport/Transport.java
@@ -8,6 +8,13 @@
      */
     int NO_RESPONSE = 0;
 
+    /**
+     * Status of a call that was executed, and whose response is longer than {@link
+     * io.quincelead.config.constants.TransportConstants#MAX_RESPONSE_BYTES}. It isn't read to its
+     * end; the same call would get as long a response again.
+     */
+    int RESPONSE_TOO_LARGE = -2;
+
     /** Status of a call that was certainly not executed: its body can't be encoded. */
     int NOT_SENT = -1;
 
@@ -17,7 +24,7 @@
         /**
          * Called once per call.
          *
-         * @param status HTTP status, {@link Transport#NO_RESPONSE} or {@link Transport#NOT_SENT}
+         * @param status HTTP status, or one of the constants of {@link Transport}
          * @param body the body; null without a response
          */
         void onResponse(int status, byte[] body);
