A machine of another shard counts as up by its record, not by what was seen of it

Cause: poolsOfOtherShards took only machines for which ImageCaches has an estimate, as a sign that they are up. The estimates are known only to a process that watched the placements; those of the listing at its start were dropped too, since jobs are listed before machines.

Uses are kept before their machine is read.

--- a/src/main/java/io/quincelead/cluster/ImageCaches.java
+++ b/src/main/java/io/quincelead/cluster/ImageCaches.java
@@ -33,19 +33,22 @@
      * now the most recently used one.
      */
     public void recordUse(String host, JobSpec spec) {
-        MachineTable.Machine machine = machines.get(host);
-        if (machine == null) {
-            return;
-        }
         LinkedHashMap<String, Double> images =
                 imagesByHost.computeIfAbsent(host, h -> new LinkedHashMap<>());
         images.remove(spec.image());
         images.put(spec.image(), spec.imageSizeGb());
+        MachineTable.Machine machine = machines.get(host);
+        if (machine != null) {
+            evictOldest(images, cacheGbByMachineType.applyAsDouble(machine.machineType()));
+        }
+        // Else it isn't known what the cache holds: a listing brings jobs before machines.
+    }
+
+    private static void evictOldest(LinkedHashMap<String, Double> images, double cacheGb) {
         double totalGb = 0;
         for (double gb : images.values()) {
             totalGb += gb;
         }
-        double cacheGb = cacheGbByMachineType.applyAsDouble(machine.machineType());
         while (totalGb > cacheGb && images.size() > 1) {
             String oldest = images.keySet().iterator().next();
             totalGb -= images.remove(oldest);
--- a/src/main/java/io/quincelead/scheduler/CapacityReader.java
+++ b/src/main/java/io/quincelead/scheduler/CapacityReader.java
@@ -4,6 +4,8 @@
 import io.quincelead.cluster.JobTable;
 import io.quincelead.cluster.MachineTable;
 import io.quincelead.cluster.MachineTypeCatalog;
+import io.quincelead.config.constants.AutoscalerConstants;
+import io.quincelead.eventloop.EventLoop;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -13,6 +15,7 @@
 final class CapacityReader {
     private record UsableMachine(String host, String owner, boolean inOwnShard) {}
 
+    private final EventLoop loop;
     private final ClusterView cluster;
     private final MachineStatus machineStatus;
 
@@ -27,7 +30,8 @@
     private long seenShardsVersion = -1;
     private boolean seenAsLeader;
 
-    CapacityReader(ClusterView cluster, MachineStatus machineStatus) {
+    CapacityReader(EventLoop loop, ClusterView cluster, MachineStatus machineStatus) {
+        this.loop = loop;
         this.cluster = cluster;
         this.machineStatus = machineStatus;
     }
@@ -123,7 +127,7 @@
                     && machineType != null
                     && !machine.releasing()
                     && !machine.cordoned()
-                    && cluster.imageCaches().hasEstimate(machine.host())) {
+                    && isProbablyUp(machine, machineType)) {
                 others.addMachine(
                         new FreeCapacity(
                                 machine.host(),
@@ -134,4 +138,17 @@
         }
         return others.pools;
     }
+
+    /**
+     * Whether the machine has probably booted. Another controller's workers are known only from the
+     * records: a machine whose use this process hasn't seen counts from the end of a usual boot on,
+     * as after a restart nothing has been seen of any machine.
+     */
+    private boolean isProbablyUp(
+            MachineTable.Machine machine, MachineTypeCatalog.MachineType machineType) {
+        double ageSeconds = (loop.wallClockMillis() - machine.provisionedAtEpochMillis()) / 1000.0;
+        return cluster.imageCaches().hasEstimate(machine.host())
+                || ageSeconds
+                        >= machineType.bootSeconds() * AutoscalerConstants.USUAL_BOOT_MAX_FACTOR;
+    }
 }
--- a/src/main/java/io/quincelead/scheduler/QueueScheduler.java
+++ b/src/main/java/io/quincelead/scheduler/QueueScheduler.java
@@ -60,7 +60,7 @@
                         cluster.machines(),
                         cluster.machineTypes(),
                         cluster.policy());
-        this.capacityReader = new CapacityReader(cluster, machineStatus);
+        this.capacityReader = new CapacityReader(loop, cluster, machineStatus);
         this.leaderReservations = new LeaderReservations(loop, cluster);
         this.peerDrainReservations = new PeerDrainReservations(cluster);
         this.escalationPolicy = new EscalationPolicy(loop, capacityReader);
