A stalled watch is found by the changes that it owes; watches last 10 s again

WatchProgress now counts checks, one a second, at which the watch lacks a change that this process has committed, or has failed, while the store answers other requests; eight in succession are a stall. Counting checks rather than time keeps a process that stood still from leaving for responses that it has yet to handle. No request is added. What is left: without a change of its own a controller learns of a silent watch by its timeout only, 13 s later.

--- a/src/main/java/io/quincelead/config/constants/StoreConstants.java
+++ b/src/main/java/io/quincelead/config/constants/StoreConstants.java
@@ -15,7 +15,7 @@
     public static final long REQUEST_TIMEOUT_MILLIS = 1500;
 
     /** Time for which the store keeps a watch request open when nothing changes. */
-    public static final long WATCH_LONG_POLL_MILLIS = 3_000;
+    public static final long WATCH_LONG_POLL_MILLIS = 10_000;
 
     /**
      * Time after the end of the long poll at which a watch without a response is considered lost.
@@ -42,18 +42,15 @@
      */
     public static final double WATCH_REQUESTS_FRACTION = 0.36;
 
-    /**
-     * Time without progress of the watch, while the store answers other requests, after which the
-     * watch counts as stalled; long enough for one watch to be lost.
-     */
-    public static final long WATCH_STALL_MILLIS =
-            WATCH_LONG_POLL_MILLIS + WATCH_TIMEOUT_SLACK_MILLIS;
+    /** Interval at which it is checked whether the watch has delivered what it must. */
+    public static final long WATCH_CHECK_INTERVAL_MILLIS = 1_000;
 
     /**
-     * Number of other requests that the store must have answered meanwhile for the watch to count
-     * as stalled. A process that stood still may have missed the response to its watch.
+     * Number of successive checks at which the watch lacks a change, while the store answers other
+     * requests, after which it counts as stalled. Checks are counted, not time, because a process
+     * that stood still hasn't handled the responses that have arrived meanwhile.
      */
-    public static final int MIN_ANSWERS_DURING_STALL = 2;
+    public static final int STALLED_WATCH_CHECKS = 8;
 
     /** Minimum time between two watch requests of a controller. */
     public static final long MIN_WATCH_INTERVAL_MILLIS = 80;
--- a/src/main/java/io/quincelead/store/StoreClient.java
+++ b/src/main/java/io/quincelead/store/StoreClient.java
@@ -17,11 +17,12 @@
  */
 public final class StoreClient {
     private static final Logger LOG = LoggerFactory.getLogger(StoreClient.class);
+    private static final String WATCH_PATH = "/watch";
     private final MessageSender sender;
     private final int maxTransactionOperations;
     private final RateLimiter requestBudget;
     private final RateLimiter writeBudget;
-    private long answeredRequests;
+    private boolean answering;
     private boolean writesDelayed;
     private boolean writesThrottled;
 
@@ -90,8 +91,8 @@
                     if (status == 429) {
                         requestBudget.drain();
                     }
-                    if (isAnswer(status)) {
-                        answeredRequests++;
+                    if (!path.startsWith(WATCH_PATH)) {
+                        answering = isAnswer(status);
                     }
                     if (status == 200
                             && responseBody == null
@@ -110,12 +111,12 @@
     }
 
     private static boolean isAnswer(int status) {
-        return status == 200 || status == 404 || status == 409;
+        return status == 200 || status == 404 || status == 409 || status == 429;
     }
 
-    /** How many requests the store has executed and answered. */
-    long answeredRequests() {
-        return answeredRequests;
+    /** Whether the store answered the last request other than a watch. */
+    boolean isAnswering() {
+        return answering;
     }
 
     /** Reads one key, linearizably. The status is 404 if the key doesn't exist. */
@@ -140,7 +141,8 @@
     void watch(String prefix, long afterRevision, ResponseHandler handler) {
         call(
                 "GET",
-                "/watch?prefix="
+                WATCH_PATH
+                        + "?prefix="
                         + prefix
                         + "&after="
                         + afterRevision
--- a/src/main/java/io/quincelead/store/WatchCache.java
+++ b/src/main/java/io/quincelead/store/WatchCache.java
@@ -208,7 +208,7 @@
         storeRevision = Math.max(storeRevision, snapshotRevision);
         synced = true;
         transitionTo(Phase.WATCHING);
-        progress.onProgress();
+        progress.onProgress(storeRevision);
         notifyChangeListeners(steps);
         watch();
     }
@@ -239,7 +239,7 @@
                     }
                     IndependentSteps steps = new IndependentSteps();
                     applyChanges(body, steps);
-                    progress.onProgress();
+                    progress.onProgress(storeRevision);
                     loop.runAfter(
                             Math.max(0, minWatchIntervalMillis - (loop.nowMillis() - sentAtMillis)),
                             this::watch);
@@ -297,6 +297,7 @@
         if (!key.startsWith(StoreKeys.LIVE_PREFIX)) {
             return;
         }
+        progress.expectRevision(modRevision);
         if (operation.isRemoval()) {
             applyRemove(key, modRevision);
         } else {
--- a/src/main/java/io/quincelead/store/WatchProgress.java
+++ b/src/main/java/io/quincelead/store/WatchProgress.java
@@ -20,9 +20,9 @@
      * it.
      */
     private enum State {
-        /** The last watch or listing succeeded, or the store answers nothing else either. */
+        /** The watch delivers what it must, or the store answers nothing else either. */
         FOLLOWING,
-        /** Watches and listings fail while the store answers other requests. */
+        /** The watch lacks changes while the store answers other requests. */
         STALLED
     }
 
@@ -32,13 +32,26 @@
     private final List<Runnable> recoveryListeners = new ArrayList<>();
     private State state = State.FOLLOWING;
     private long lastProgressMillis;
-    private long answersAtLastProgress;
+
+    /** A revision that the watch must reach, because this process has changed a live key at it. */
+    private long expectedRevision;
+
+    /** The revision up to which the watch has delivered all changes. */
+    private long reachedRevision;
+
+    /** Whether the last watch or page of a listing failed. */
+    private boolean lastAttemptFailed;
+
+    /** Number of successive checks that found the watch behind while the store answers. */
+    private int checksBehind;
+
     private int stallCount;
 
     WatchProgress(EventLoop loop, StoreClient store) {
         this.loop = loop;
         this.store = store;
-        recordTime();
+        lastProgressMillis = loop.nowMillis();
+        loop.runEvery(StoreConstants.WATCH_CHECK_INTERVAL_MILLIS, this::check);
     }
 
     /** Registers what to do when the watch stalls and when it makes progress again. */
@@ -62,41 +75,44 @@
         return loop.nowMillis() - lastProgressMillis;
     }
 
-    /** A watch was answered, or a listing is complete. */
-    void onProgress() {
+    /** This process has changed a live key at this revision. */
+    void expectRevision(long revision) {
+        expectedRevision = Math.max(expectedRevision, revision);
+    }
+
+    /** All changes up to this revision were delivered, by a watch or by a complete listing. */
+    void onProgress(long revision) {
+        long stalledMillis = millisSinceProgress();
+        lastProgressMillis = loop.nowMillis();
+        reachedRevision = revision;
+        lastAttemptFailed = false;
+        checksBehind = 0;
         if (state == State.STALLED) {
-            LOG.info("the watch makes progress again after {} ms", millisSinceProgress());
+            LOG.info("the watch makes progress again after {} ms", stalledMillis);
             transitionTo(State.FOLLOWING);
-            recordTime();
             recoveryListeners.forEach(Runnable::run);
-        } else {
-            recordTime();
         }
     }
 
     /** A watch or a page of a listing failed. */
     void onFailure() {
-        // The failing watch itself is not among the answered requests.
-        long otherAnswers = store.answeredRequests() - answersAtLastProgress;
-        if (state == State.FOLLOWING
-                && millisSinceProgress() >= StoreConstants.WATCH_STALL_MILLIS
-                && otherAnswers >= StoreConstants.MIN_ANSWERS_DURING_STALL) {
+        lastAttemptFailed = true;
+    }
+
+    private void check() {
+        boolean isBehind = lastAttemptFailed || expectedRevision > reachedRevision;
+        checksBehind = isBehind && store.isAnswering() ? checksBehind + 1 : 0;
+        if (state == State.FOLLOWING && checksBehind >= StoreConstants.STALLED_WATCH_CHECKS) {
             stallCount++;
             LOG.error(
-                    "the watch is stalled: no progress for {} ms, while the store answered {}"
+                    "the watch is stalled: no progress for {} ms, while the store answers other"
                             + " requests",
-                    millisSinceProgress(),
-                    otherAnswers);
+                    millisSinceProgress());
             transitionTo(State.STALLED);
             stallListeners.forEach(Runnable::run);
         }
     }
 
-    private void recordTime() {
-        lastProgressMillis = loop.nowMillis();
-        answersAtLastProgress = store.answeredRequests();
-    }
-
     private void transitionTo(State next) {
         LOG.debug("watch progress {} -> {}", state, next);
         state = next;
