A peer's status is newer by the lease on record, not by a larger lease ID

Cause: PeerStatus.supersedes compared lease IDs by size; PROTOCOL names no order. A status with lease 0 always won, and any older one then won over it.

Change: a status counts only if its lease is the one in the sender's member record, which the store orders; within one lease the sequence decides. A sender that doesn't know its record (lease 0) isn't believed. Other paths that compare leases, incarnations or names were gone through: all test for equality, tokens come from one counter, the cloud's names are ordered by PROTOCOL. The store of the tests hands out IDs in no order from now on.

--- a/src/main/java/io/quincelead/peer/PeerMessenger.java
+++ b/src/main/java/io/quincelead/peer/PeerMessenger.java
@@ -85,8 +85,9 @@
     }
 
     private void acceptIfNewer(String senderId, PeerStatus status) {
-        PeerStatus previous = statusByMember.get(senderId);
-        if (previous == null || status.supersedes(previous)) {
+        ClusterMembership.Member sender = membership.member(senderId);
+        long recordedLeaseId = sender == null ? PeerStatus.UNKNOWN_LEASE : sender.leaseId();
+        if (status.isNewest(statusByMember.get(senderId), recordedLeaseId)) {
             statusByMember.put(senderId, status);
         }
     }
@@ -144,7 +145,7 @@
         byte[] status =
                 PeerMessageCodec.encodeStatus(
                         settings.memberId(),
-                        self == null ? 0 : self.leaseId(),
+                        self == null ? PeerStatus.UNKNOWN_LEASE : self.leaseId(),
                         ++lastSentSequence,
                         localWorkers.get());
         sendToLeader(
--- a/src/test/java/io/quincelead/simulation/SimulatedStore.java
+++ b/src/test/java/io/quincelead/simulation/SimulatedStore.java
@@ -41,7 +41,7 @@
     private final List<StoreChange> changes = new ArrayList<>();
     private final List<Watch> watches = new ArrayList<>();
     private long revision;
-    private long lastLeaseId;
+    private int leaseCount;
 
     /** Number of changes kept for watches; a watch that starts before them gets 410. */
     public int maxRetainedChanges = 10_000;
@@ -243,12 +243,17 @@
     }
 
     private void openLease(IncomingRequest request, long durationMillis) {
-        long leaseId = ++lastLeaseId;
+        long leaseId = nextLeaseId();
         leaseDurationMillis.put(leaseId, durationMillis);
         leaseExpiryMillis.put(leaseId, clock.nowMillis() + durationMillis);
         request.respond(200, WireFormat.newMap().put("grant", leaseId));
     }
 
+    /** Lease IDs are unique, but in no order, which the protocol doesn't promise. */
+    private long nextLeaseId() {
+        return Integer.reverse(++leaseCount) >>> 1;
+    }
+
     private void renewOrEndLease(IncomingRequest request, long leaseId) {
         if (!leaseExpiryMillis.containsKey(leaseId)) {
             request.respond(404, WireFormat.newMap());
