--- a/review/standins-2/Cases.java
+++ b/review/standins-2/Cases.java
@@ -16,8 +16,12 @@
             code =
                     switch (args[0]) {
                         case "smoke" -> smoke(record);
-                        case "gang" -> largeGang(record, trouble);
-                        case "shapes" -> longShapes(record, trouble);
+                        case "4" -> largeGang(record, trouble);
+                        case "chaos" -> chaos(record, Long.parseLong(args[2]), args[3]);
+                        case "6" -> machineTaken(record, trouble);
+                        case "8" -> giantGang(record, trouble);
+                        case "7" -> noCheapMachines(record, trouble);
+                        case "5" -> longShapes(record, trouble);
                         default -> 2;
                     };
         } catch (Exception e) {
@@ -119,7 +123,7 @@
             lab.submit(gang, 1);
             Lab.sleep(2000);
         }
-        watch(lab, submitSmall(lab, 500, "hydro-ops"), 117);
+        watch(lab, submitSmall(lab, 500, "hydro-ops"), 113);
         return result(lab);
     }
 
@@ -132,13 +136,276 @@
         Lab.Job job =
                 lab.job(412, "ensemble-rerun", "marine-desk", "array", "normal", 200, 1, 1, 20);
         List<String> shapes = new ArrayList<>(List.of("gull", "heron", "osprey"));
-        for (int i = 0; trouble && i < 300; i++) {
+        Lab.setShapes(job, shapes);
+        // All the types of machine that the team has ever used; three of them exist here.
+        for (int i = 0; trouble && Wire.JSON.writeValueAsBytes(job.spec).length < 7700; i++) {
             shapes.add(String.format("type-%03d.large", i));
+            Lab.setShapes(job, shapes);
         }
-        Lab.setShapes(job, shapes);
+        lab.note("the job's description has " + Wire.JSON.writeValueAsBytes(job.spec).length + " bytes");
         lab.submit(job, 1);
+        // The state service refuses the first oversized write as soon as about 100 tasks are placed.
+        long until = System.currentTimeMillis() + 10_000;
+        while (System.currentTimeMillis() < until && lab.store.malformed < 3) {
+            Lab.sleep(100);
+        }
+        watch(lab, submitSmall(lab, 500, "roads-desk"), 115);
+        return result(lab);
+    }
+
+    static int machineTaken(File record, boolean trouble) throws Exception {
+        Lab lab = new Lab(Site.lakeshore(), record);
+        lab.startAll();
+        lab.pollAll(1000);
+        // Its machine has room for the second job.
+        Lab.Job first =
+                lab.job(411, "ensemble-rerun", "model-ops", "array", "normal", 1, 1, 1, 6);
+        Lab.setShapes(first, List.of("osprey"));
+        lab.submit(first, 0);
+        waitFor(List.of(first), "running", 20_000);
+        Lab.Job second =
+                lab.job(412, "ensemble-rerun", "model-ops", "array", "normal", 2, 12, 24, 25);
+        lab.submit(second, 0);
+        waitFor(List.of(first), "done", 20_000);
+        if (second.startedAt == 0) {
+            return 2;
+        }
+        long takenAt = System.currentTimeMillis();
+        if (trouble) {
+            List<Machine> machines;
+            synchronized (lab.cloud) {
+                machines = new ArrayList<>(lab.cloud.machines.values());
+            }
+            for (Machine machine : machines) {
+                if (!machine.running().isEmpty()) {
+                    lab.cloud.take(machine);
+                }
+            }
+            synchronized (lab) {
+                second.started.clear();
+            }
+        }
+        while (lab.seconds() < 115
+                && !second.lastStatus.equals("done")
+                && (!trouble || second.started.isEmpty())) {
+            Lab.sleep(200);
+        }
+        if (trouble && second.started.isEmpty()) {
+            lab.broken(
+                    "accepted_job_must_run",
+                    second.id
+                            + " hasn't begun again "
+                            + (System.currentTimeMillis() - takenAt) / 1000
+                            + " s after its machine was taken; the cloud would give any machine");
+        } else if (!trouble && !second.lastStatus.equals("done")) {
+            lab.broken("accepted_job_must_run", second.id + " isn't done");
+        }
+        return result(lab);
+    }
+
+    static int giantGang(File record, boolean trouble) throws Exception {
+        Lab lab = new Lab(Site.lakeshore(), record);
+        lab.startAll();
+        lab.pollAll(1000);
+        Lab.Job gang =
+                lab.job(
+                        412,
+                        "ensemble-rerun",
+                        "marine-desk",
+                        "ensemble",
+                        "high",
+                        trouble ? 2500 : 1500,
+                        0.04,
+                        0.1,
+                        10);
+        Lab.setShapes(gang, List.of("gull", "heron"));
+        lab.submit(gang, 0);
+        while (lab.seconds() < 113 && gang.startedAt == 0) {
+            Lab.sleep(200);
+        }
+        if (gang.startedAt == 0) {
+            lab.broken("accepted_job_must_run", gang.id + " hasn't begun");
+        } else {
+            waitFor(List.of(gang), "done", 20_000);
+        }
+        return result(lab);
+    }
+
+    static int noCheapMachines(File record, boolean trouble) throws Exception {
+        Site site = Site.lakeshore();
+        Lab lab = new Lab(site, record);
+        lab.cloud.noSpot = trouble;
+        lab.startAll();
+        lab.pollAll(1000);
+        Lab.sleep(2000);
+        Lab.Job job =
+                lab.job(412, "wind-fields", "roads-desk", "array", "normal", 1, 1, 2.7, 12);
+        lab.submit(job, 0);
+        while (lab.seconds() < 112 && job.startedAt == 0) {
+            Lab.sleep(200);
+        }
+        if (job.startedAt == 0) {
+            lab.broken(
+                    "accepted_job_must_run",
+                    job.id
+                            + " hasn't begun "
+                            + (System.currentTimeMillis() - job.acceptedAt) / 1000
+                            + " s after it was accepted; no ordinary machine was asked for");
+        } else {
+            waitFor(List.of(job), "done", 20_000);
+        }
+        return result(lab);
+    }
+
+    static int chaos(File record, long seed, String siteName) throws Exception {
+        java.util.Random random = new java.util.Random(seed);
+        Site site =
+                siteName.equals("atlas")
+                        ? Site.atlas()
+                        : siteName.equals("watershed") ? Site.watershed() : Site.lakeshore();
+        Lab lab = new Lab(site, record);
+        lab.startAll();
+        lab.pollAll(700);
+        double end = 88;
+        Wire.THREADS.execute(
+                () -> {
+                    String[] modes = {"array", "array", "array", "ensemble", "standing"};
+                    String[] urgencies = {"production", "high", "normal", "best_effort"};
+                    for (int i = 0; lab.seconds() < end; i++) {
+                        Lab.Job job =
+                                lab.job(
+                                        1000 + i,
+                                        "c" + random.nextInt(4),
+                                        site.teams.get(random.nextInt(site.teams.size())).name(),
+                                        modes[random.nextInt(5)],
+                                        urgencies[random.nextInt(4)],
+                                        1 + random.nextInt(random.nextInt(5) == 0 ? 30 : 5),
+                                        1 + random.nextInt(2),
+                                        1,
+                                        2 + random.nextInt(25));
+                        int kind = random.nextInt(6);
+                        if (kind == 0) {
+                            job.spec.put("oneZone", true);
+                        } else if (kind == 1 && site.zones.size() > 1) {
+                            job.spec.put("scatter", true);
+                        } else if (kind == 2) {
+                            job.spec.put("preemptible", false);
+                        } else if (kind == 3) {
+                            job.spec.put("site", site.zones.get(0));
+                        }
+                        if (random.nextBoolean()) {
+                            job.spec.put("snapshotEveryS", 5.0).put("snapshotS", 1.0);
+                        }
+                        boolean cancel = job.service() || random.nextInt(4) == 0;
+                        long after = random.nextInt(20_000);
+                        int node = random.nextInt(3);
+                        Wire.THREADS.execute(
+                                () -> {
+                                    lab.submit(job, node);
+                                    if (cancel) {
+                                        Lab.sleep(after);
+                                        lab.cancel(job, node + 1, 60_000);
+                                        for (int k = 0; k < 4; k++) {
+                                            lab.poll(job, node + k);
+                                        }
+                                    }
+                                });
+                        Lab.sleep(300 + random.nextInt(900));
+                    }
+                });
+        Lab.sleep(8000);
+        while (lab.seconds() < end) {
+            int which = random.nextInt(12);
+            int node = random.nextInt(4) == 0 ? random.nextInt(3) : Math.max(0, lab.leader());
+            Lab.Controller controller = lab.controllers.get(node);
+            List<Machine> machines;
+            synchronized (lab.cloud) {
+                machines = new ArrayList<>(lab.cloud.machines.values());
+            }
+            Machine machine =
+                    machines.isEmpty() ? null : machines.get(random.nextInt(machines.size()));
+            long spell = 1000 + random.nextInt(14_000);
+            lab.note("trouble " + which + " for " + spell + " ms, controller " + node);
+            switch (which) {
+                case 0, 1 -> {
+                    controller.kill();
+                    Lab.sleep(random.nextInt(2) * 5000);
+                    controller.start();
+                }
+                case 2 -> {
+                    for (Lab.Controller c : lab.controllers) {
+                        c.kill();
+                    }
+                    Lab.sleep(random.nextInt(3) * 4000);
+                    for (Lab.Controller c : lab.controllers) {
+                        c.start();
+                    }
+                }
+                case 3, 4 -> {
+                    controller.signal("STOP");
+                    Lab.sleep(spell);
+                    controller.signal("CONT");
+                }
+                case 5 -> {
+                    lab.store.refused.add(node);
+                    Lab.sleep(spell);
+                    lab.store.refused.remove(node);
+                }
+                case 6 -> {
+                    lab.store.setDown(true);
+                    Lab.sleep(spell);
+                    lab.store.setDown(false);
+                }
+                case 7 -> {
+                    lab.store.lateShare = 0.3;
+                    Lab.sleep(spell);
+                    lab.store.lateShare = 0;
+                }
+                case 8 -> {
+                    lab.store.lostAnswerShare = 0.4;
+                    Lab.sleep(spell);
+                    lab.store.lostAnswerShare = 0;
+                }
+                default -> {
+                    if (machine != null) {
+                        boolean hang = which == 9;
+                        Wire.THREADS.execute(
+                                () -> {
+                                    if (hang) {
+                                        machine.setHung(true);
+                                    }
+                                    machine.deaf = which == 10;
+                                    machine.mute = which == 11;
+                                    Lab.sleep(2 * spell);
+                                    machine.deaf = false;
+                                    machine.mute = false;
+                                    if (hang) {
+                                        machine.setHung(false);
+                                    }
+                                });
+                    }
+                }
+            }
+            Lab.sleep(random.nextInt(5000));
+        }
+        double quietEnd = lab.seconds() + Double.parseDouble(System.getenv().getOrDefault("QUIET_S", "18"));
         Lab.sleep(3000);
-        watch(lab, submitSmall(lab, 500, "roads-desk"), 117);
+        lab.store.refused.clear();
+        while (lab.seconds() < quietEnd) {
+            List<Lab.Job> all;
+            synchronized (lab) {
+                all = new ArrayList<>(lab.jobs.values());
+            }
+            lab.checkWaiting(all, 500);
+            Lab.sleep(500);
+        }
+        int open = 0;
+        for (Lab.Job job : new ArrayList<>(lab.jobs.values())) {
+            if (job.acceptedAt > 0 && !job.lastStatus.equals("done") && !job.cancelAsked) {
+                open++;
+            }
+        }
+        System.out.println("jobs " + lab.jobs.size() + ", open " + open);
         return result(lab);
     }
 }
--- a/review/standins-2/Cloud.java
+++ b/review/standins-2/Cloud.java
@@ -19,6 +19,9 @@
     private final List<Shot> shots = new ArrayList<>();
     private int created;
 
+    /** No spot machine is available; ordinary ones are. */
+    boolean noSpot;
+
     Cloud(Lab lab) {
         this.lab = lab;
     }
@@ -87,6 +90,15 @@
         }
     }
 
+    /** The cloud takes a machine back without notice. */
+    void take(Machine machine) {
+        synchronized (this) {
+            machines.remove(machine.host);
+        }
+        machine.delete();
+        lab.note("the cloud takes " + machine.host + " (" + machine.shape.label() + ") back");
+    }
+
     private synchronized Wire.Answer rent(ObjectNode body) throws Exception {
         String rental = body.path("rental").asText();
         List<String> hosts = granted.get(rental);
@@ -100,7 +112,8 @@
                             .count();
             int count =
                     (int) Math.min(body.path("howMany").asInt(), shape.capacity() - present);
-            if (count <= 0) {
+            if (count <= 0 || spot && noSpot) {
+                lab.note("cloud has no " + shape.label() + " in " + zone + (spot ? ", spot" : ""));
                 return Wire.error(503, "no capacity");
             }
             hosts = new ArrayList<>();
