--- a/review/standins-2/Cases.java
+++ b/review/standins-2/Cases.java
@@ -16,6 +16,7 @@
             code =
                     switch (args[0]) {
                         case "smoke" -> smoke(record);
+                        case "idle" -> idle(record);
                         case "4" -> largeGang(record, trouble);
                         case "chaos" -> chaos(record, Long.parseLong(args[2]), args[3]);
                         case "6" -> machineTaken(record, trouble);
@@ -42,6 +43,16 @@
         return lab.broken.isEmpty() ? 0 : 1;
     }
 
+    static int idle(File record) throws Exception {
+        Lab lab = new Lab(Site.lakeshore(), record);
+        lab.startAll();
+        for (Lab.Controller controller : lab.controllers) {
+            System.out.println(controller.address + " " + controller.process.pid());
+        }
+        Lab.sleep(60_000);
+        return result(lab);
+    }
+
     static int smoke(File record) throws Exception {
         Lab lab = new Lab(Site.lakeshore(), record);
         lab.startAll();
@@ -103,32 +114,32 @@
     }
 
     static int largeGang(File record, boolean trouble) throws Exception {
-        Lab lab = new Lab(Site.watershed(), record);
+        Lab lab = new Lab(Site.atlasHunt(), record);
         lab.startAll();
         lab.pollAll(1000);
-        List<Lab.Job> warm = submitSmall(lab, 100, "hydro-ops");
+        List<Lab.Job> warm = submitSmall(lab, 100, "finance-desk");
         waitFor(warm, "done", 18_000);
         if (trouble) {
             Lab.Job gang =
                     lab.job(
                             412,
-                            "surge-ensemble",
-                            "shoreline-desk",
+                            "seat-maps",
+                            "partner-links",
                             "ensemble",
                             "normal",
                             2300,
-                            0.2,
-                            0.3,
+                            0.5,
+                            0.5,
                             20);
             lab.submit(gang, 1);
             Lab.sleep(2000);
         }
-        watch(lab, submitSmall(lab, 500, "hydro-ops"), 113);
+        watch(lab, submitSmall(lab, 500, "finance-desk"), 114);
         return result(lab);
     }
 
     static int longShapes(File record, boolean trouble) throws Exception {
-        Lab lab = new Lab(Site.lakeshore(), record);
+        Lab lab = new Lab(Site.lakeshoreHunt(), record);
         lab.startAll();
         lab.pollAll(1000);
         List<Lab.Job> warm = submitSmall(lab, 100, "roads-desk");
--- a/review/standins-2/Lab.java
+++ b/review/standins-2/Lab.java
@@ -203,10 +203,18 @@
         }
     }
 
+    /** A port below those that the system gives to outgoing connections. */
     private static int freePort() throws Exception {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+        for (int i = 0; i < 1000; i++) {
+            int port = 15_000 + (int) (Math.random() * 15_000);
+            try (ServerSocket socket =
+                    new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (java.io.IOException e) {
+                // In use; another one is tried.
+            }
         }
+        throw new IllegalStateException("no free port");
     }
 
     private String settings(Controller controller, String storeAddress, String cloudAddress) {
--- a/review/standins-2/Site.java
+++ b/review/standins-2/Site.java
@@ -133,4 +133,50 @@
         site.maxConnections = 2500;
         return site;
     }
+
+    /** With fewer machines to give than the deployment has. */
+    static Site atlasHunt() {
+        Site site = atlas();
+        site.name = "atlas-checkin-hunt";
+        site.teams =
+                List.of(
+                        new Team("counter-systems", 350, 1200),
+                        new Team("ops-control", 700, 2000),
+                        new Team("partner-links", 700, 1200),
+                        new Team("finance-desk", 350, 700),
+                        new Team("ground-crew", 600, 1800));
+        site.reportS = 4;
+        site.leaseS = 22;
+        site.cancelS = 52;
+        site.rps = 150;
+        site.writeRps = 35;
+        site.cloudRps = 2.5;
+        site.cpuShare = 0.442;
+        site.ramMb = 360;
+        site.maxConnections = 1554;
+        return site;
+    }
+
+    /** With fewer machines to give than the deployment has. */
+    static Site lakeshoreHunt() {
+        Site site = lakeshore();
+        site.name = "lakeshore-coop-hunt";
+        site.controllers = 5;
+        site.teams =
+                List.of(
+                        new Team("marine-desk", 2500, 8000),
+                        new Team("roads-desk", 1500, 4000),
+                        new Team("model-ops", 2500, 8000),
+                        new Team("archive-group", 1200, 2500));
+        site.reportS = 3;
+        site.leaseS = 17.5;
+        site.cancelS = 47.5;
+        site.rps = 600;
+        site.writeRps = 250;
+        site.cloudRps = 3.5;
+        site.cpuShare = 0.408;
+        site.ramMb = 360;
+        site.maxConnections = 2354;
+        return site;
+    }
 }
