--- a/review/standins-2/Cases.java
+++ b/review/standins-2/Cases.java
@@ -16,11 +16,13 @@
             code =
                     switch (args[0]) {
                         case "smoke" -> smoke(record);
+                        case "mem" -> mem(record);
                         case "idle" -> idle(record);
                         case "4" -> largeGang(record, trouble);
                         case "chaos" -> chaos(record, Long.parseLong(args[2]), args[3]);
                         case "6" -> machineTaken(record, trouble);
-                        case "8" -> giantGang(record, trouble);
+                        case "8" -> scatteredGang(record, trouble);
+                        case "giant" -> giantGang(record, trouble);
                         case "7" -> noCheapMachines(record, trouble);
                         case "5" -> longShapes(record, trouble);
                         default -> 2;
@@ -43,6 +45,40 @@
         return lab.broken.isEmpty() ? 0 : 1;
     }
 
+    static int mem(File record) throws Exception {
+        Site site = Site.lakeshore();
+        site.controllers = 3;
+        Lab lab = new Lab(site, record);
+        lab.startAll();
+        lab.pollAll(1000);
+        for (int i = 0; i < 3; i++) {
+            lab.submit(lab.job(400 + i, "wind-fields", site.teams.get(i).name(), "array", "normal", 100_000, 1, 2.7, 3), i);
+        }
+        Wire.THREADS.execute(
+                () -> {
+                    for (int i = 0; lab.seconds() < 110; i++) {
+                        Lab.Job job = lab.job(1000 + i, "ice-forecast", site.teams.get(i % 4).name(), "array", "high", 1, 1, 1, 2);
+                        int node = i;
+                        Wire.THREADS.execute(() -> lab.submit(job, node));
+                        Lab.sleep(250);
+                    }
+                });
+        while (lab.seconds() < 110) {
+            StringBuilder text = new StringBuilder("rss");
+            for (Lab.Controller c : lab.controllers) {
+                for (String line : java.nio.file.Files.readAllLines(java.nio.file.Path.of("/proc/" + c.process.pid() + "/status"))) {
+                    if (line.startsWith("VmRSS") || line.startsWith("RssAnon")) {
+                        text.append(" ").append(line.replaceAll("[^0-9]", ""));
+                    }
+                }
+                text.append(c.process.isAlive() ? ";" : " DEAD;");
+            }
+            System.out.println(lab.seconds() + " " + text);
+            Lab.sleep(8000);
+        }
+        return result(lab);
+    }
+
     static int idle(File record) throws Exception {
         Lab lab = new Lab(Site.lakeshore(), record);
         lab.startAll();
@@ -92,9 +128,16 @@
         return jobs;
     }
 
+    /** One task that runs longer than the script: its machine is up and has room all the time. */
+    private static void keepOneMachine(Lab lab, String team) {
+        Lab.Job job = lab.job(100, "small", team, "array", "normal", 1, 1, 1, 300);
+        lab.submit(job, 0);
+        waitFor(List.of(job), "running", 20_000);
+    }
+
     private static void watch(Lab lab, List<Lab.Job> jobs, double untilSeconds) {
         while (lab.seconds() < untilSeconds) {
-            lab.checkWaiting(jobs, 500);
+            lab.checkWaiting(jobs);
             Lab.sleep(500);
             if (jobs.stream().allMatch(job -> job.lastStatus.equals("done"))) {
                 break;
@@ -117,8 +160,7 @@
         Lab lab = new Lab(Site.atlasHunt(), record);
         lab.startAll();
         lab.pollAll(1000);
-        List<Lab.Job> warm = submitSmall(lab, 100, "finance-desk");
-        waitFor(warm, "done", 18_000);
+        keepOneMachine(lab, "ground-crew");
         if (trouble) {
             Lab.Job gang =
                     lab.job(
@@ -142,8 +184,7 @@
         Lab lab = new Lab(Site.lakeshoreHunt(), record);
         lab.startAll();
         lab.pollAll(1000);
-        List<Lab.Job> warm = submitSmall(lab, 100, "roads-desk");
-        waitFor(warm, "done", 15_000);
+        keepOneMachine(lab, "archive-group");
         Lab.Job job =
                 lab.job(412, "ensemble-rerun", "marine-desk", "array", "normal", 200, 1, 1, 20);
         List<String> shapes = new ArrayList<>(List.of("gull", "heron", "osprey"));
@@ -214,6 +255,24 @@
         return result(lab);
     }
 
+    static int scatteredGang(File record, boolean trouble) throws Exception {
+        Lab lab = new Lab(Site.atlas(), record);
+        lab.startAll();
+        lab.pollAll(1000);
+        keepOneMachine(lab, "finance-desk");
+        Lab.Job gang =
+                lab.job(412, "seat-maps", "ground-crew", "ensemble", "normal", 4, 1, 1, 5);
+        gang.spec.put("scatter", trouble);
+        int status = lab.submit(gang, 0);
+        waitFor(List.of(gang), "done", status == 201 ? 60_000 : 0);
+        if (status == 201 && !gang.lastStatus.equals("done")) {
+            lab.broken(
+                    "accepted_cant_run",
+                    gang.id + " got 201, and none of its tasks has begun 60 s later");
+        }
+        return result(lab);
+    }
+
     static int giantGang(File record, boolean trouble) throws Exception {
         Lab lab = new Lab(Site.lakeshore(), record);
         lab.startAll();
@@ -358,9 +417,10 @@
                     controller.signal("CONT");
                 }
                 case 5 -> {
-                    lab.store.refused.add(node);
-                    Lab.sleep(spell);
-                    lab.store.refused.remove(node);
+                    var cut = random.nextBoolean() ? lab.store.refused : lab.store.silent;
+                    cut.add(node);
+                    Lab.sleep(2 * spell);
+                    cut.remove(node);
                 }
                 case 6 -> {
                     lab.store.setDown(true);
@@ -407,7 +467,7 @@
             synchronized (lab) {
                 all = new ArrayList<>(lab.jobs.values());
             }
-            lab.checkWaiting(all, 500);
+            lab.checkWaiting(all);
             Lab.sleep(500);
         }
         int open = 0;
--- a/review/standins-2/Lab.java
+++ b/review/standins-2/Lab.java
@@ -643,15 +643,15 @@
                 });
     }
 
-    /** Milliseconds for which each job has waited while a machine with room was up. */
-    private final Map<Job, Long> waitedMillis = new HashMap<>();
+    /** Since when each job has waited while a machine with room was up. */
+    private final Map<Job, Long> waitingSince = new HashMap<>();
 
     /**
      * The rule of the users' page more/hunt/LATER.md: once the troubles are over, no job is left
      * waiting for 90 s while a machine that fits has room and its team is under its limit. Called
-     * every {@code stepMillis}; a job's time starts again whenever the conditions don't hold.
+     * twice a second; a job's time starts again whenever the conditions don't hold.
      */
-    synchronized void checkWaiting(List<Job> watched, long stepMillis) {
+    synchronized void checkWaiting(List<Job> watched) {
         List<Machine> machines;
         synchronized (cloud) {
             machines = new ArrayList<>(cloud.machines.values());
@@ -691,11 +691,12 @@
                     || !job.started.isEmpty()
                     || !room
                     || !underLimit) {
-                waitedMillis.remove(job);
+                waitingSince.remove(job);
                 continue;
             }
-            long waited = waitedMillis.merge(job, stepMillis, Long::sum);
-            if (waited >= 90_000 && waited < 90_000 + stepMillis) {
+            long since = waitingSince.computeIfAbsent(job, j -> System.currentTimeMillis());
+            if (System.currentTimeMillis() - since > 90_000) {
+                waitingSince.put(job, Long.MAX_VALUE);
                 broken(
                         "left_waiting",
                         job.id
--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -34,6 +34,9 @@
     /** Controllers that get 503 while the others are served. */
     final Set<Integer> refused = new HashSet<>();
 
+    /** Controllers whose requests don't arrive; they get no answer. */
+    final Set<Integer> silent = new HashSet<>();
+
     /** Share of the transactions that get no answer and are carried out 2 to 12 s later. */
     double lateShare;
 
@@ -129,6 +132,10 @@
 
     Wire.Answer handle(int node, Wire.Request request) throws Exception {
         synchronized (this) {
+            if (silent.contains(node)) {
+                unlockedHang();
+                return null;
+            }
             if (down || refused.contains(node)) {
                 return Wire.error(503, "unavailable");
             }
@@ -259,7 +266,7 @@
         while (true) {
             ObjectNode body = Wire.map();
             ArrayNode news = body.putArray("news");
-            if (!down && !refused.contains(node)) {
+            if (!down && !refused.contains(node) && !silent.contains(node)) {
                 int first = changes.size();
                 while (first > 0 && changes.get(first - 1).revision > after) {
                     first--;
