--- a/review/standins-2/Cases.java
+++ b/review/standins-2/Cases.java
@@ -17,6 +17,7 @@
                     switch (args[0]) {
                         case "smoke" -> smoke(record);
                         case "mem" -> mem(record);
+                        case "reserve" -> reserve(record, trouble);
                         case "idle" -> idle(record);
                         case "4" -> largeGang(record, trouble);
                         case "chaos" -> chaos(record, Long.parseLong(args[2]), args[3]);
@@ -79,6 +80,47 @@
         return result(lab);
     }
 
+    static int reserve(File record, boolean trouble) throws Exception {
+        Site site = Site.lakeshore();
+        site.zones = List.of("duluth");
+        site.shapes = List.of(new Site.Shape("gull", 8, 0, 64, 1.0, 0.46, 0.17, 25, 5));
+        Lab lab = new Lab(site, record);
+        lab.cloud.noSpot = true;
+        lab.startAll();
+        lab.pollAll(1000);
+        Lab.Job service = lab.job(10, "models", "model-ops", "standing", "production", 3, 8, 1, 0);
+        service.spec.put("preemptible", false);
+        lab.submit(service, 0);
+        Wire.THREADS.execute(
+                () -> {
+                    for (int i = 0; lab.seconds() < 116; i++) {
+                        Lab.Job job = lab.job(100 + i, "ice-forecast", "roads-desk", "array", "high", i == 0 ? 7 : 3, 2, 1, 5);
+                        job.spec.put("preemptible", false);
+                        int node = i;
+                        Wire.THREADS.execute(() -> lab.submit(job, node));
+                        Lab.sleep(10_000);
+                    }
+                });
+        Lab.sleep(14_000);
+        if (trouble) {
+            List<Machine> machines;
+            synchronized (lab.cloud) {
+                machines = new ArrayList<>(lab.cloud.machines.values());
+            }
+            for (Machine machine : machines) {
+                if (machine.up && machine.running().stream().noneMatch(a -> a.job == service)) {
+                    lab.cloud.take(machine);
+                    lab.cloud.full = true;
+                    break;
+                }
+            }
+        }
+        Lab.Job job = lab.job(412, "archive-regrid", "archive-group", "array", "best_effort", 4, 1, 1, 5);
+        lab.submit(job, 1);
+        watch(lab, List.of(job), 116);
+        return result(lab);
+    }
+
     static int idle(File record) throws Exception {
         Lab lab = new Lab(Site.lakeshore(), record);
         lab.startAll();
--- a/review/standins-2/Cloud.java
+++ b/review/standins-2/Cloud.java
@@ -19,6 +19,9 @@
     private final List<Shot> shots = new ArrayList<>();
     private int created;
 
+    /** No further machine is available. */
+    boolean full;
+
     /** No spot machine is available; ordinary ones are. */
     boolean noSpot;
 
@@ -112,7 +115,7 @@
                             .count();
             int count =
                     (int) Math.min(body.path("howMany").asInt(), shape.capacity() - present);
-            if (count <= 0 || spot && noSpot) {
+            if (count <= 0 || full || spot && noSpot) {
                 lab.note("cloud has no " + shape.label() + " in " + zone + (spot ? ", spot" : ""));
                 return Wire.error(503, "no capacity");
             }
--- a/review/standins-2/Lab.java
+++ b/review/standins-2/Lab.java
@@ -203,15 +203,20 @@
         }
     }
 
-    /** A port below those that the system gives to outgoing connections. */
+    private static int nextPort = 15_000 + (int) (ProcessHandle.current().pid() % 1250) * 12;
+
+    /**
+     * A port below those that the system gives to outgoing connections. Scripts that run at the
+     * same time begin at different ones.
+     */
     private static int freePort() throws Exception {
         for (int i = 0; i < 1000; i++) {
-            int port = 15_000 + (int) (Math.random() * 15_000);
+            int port = nextPort++;
             try (ServerSocket socket =
                     new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
                 return socket.getLocalPort();
             } catch (java.io.IOException e) {
-                // In use; another one is tried.
+                // In use; the next one is tried.
             }
         }
         throw new IllegalStateException("no free port");
@@ -280,12 +285,20 @@
         long until = System.currentTimeMillis() + 30_000;
         for (Controller controller : controllers) {
             while (!controller.ready()) {
+                if (!controller.process.isAlive()) {
+                    throw new IllegalStateException(controller.name + " has ended by itself");
+                }
                 if (System.currentTimeMillis() > until) {
                     throw new IllegalStateException(controller.name + " doesn't become ready");
                 }
                 sleep(100);
             }
         }
+        for (Controller controller : controllers) {
+            if (!controller.process.isAlive()) {
+                throw new IllegalStateException(controller.name + " has ended by itself");
+            }
+        }
         note("all controllers are ready");
     }
 
