review case 7: machines that never come up are kept after a rolling restart

A booting machine whose address is known makes its zone count as unreachable, and machines of such a zone are never given up.

--- a/review/standins-2/Cases.java
+++ b/review/standins-2/Cases.java
@@ -18,13 +18,14 @@
                         case "smoke" -> smoke(record);
                         case "mem" -> mem(record);
                         case "reserve" -> reserve(record, trouble);
+                        case "7" -> neverUp(record, trouble);
                         case "idle" -> idle(record);
                         case "4" -> largeGang(record, trouble);
                         case "chaos" -> chaos(record, Long.parseLong(args[2]), args[3]);
                         case "6" -> machineTaken(record, trouble);
-                        case "8" -> scatteredGang(record, trouble);
+                        case "scatter" -> scatteredGang(record, trouble);
                         case "giant" -> giantGang(record, trouble);
-                        case "7" -> noCheapMachines(record, trouble);
+                        case "8" -> noCheapMachines(record, trouble);
                         case "5" -> longShapes(record, trouble);
                         default -> 2;
                     };
@@ -124,6 +125,51 @@
         return result(lab);
     }
 
+    static int neverUp(File record, boolean trouble) throws Exception {
+        Site site = Site.lakeshore();
+        site.shapes =
+                List.of(
+                        new Site.Shape("gull", 8, 0, 64, 1.0, 0.46, 0.17, 25, 12),
+                        new Site.Shape("heron", 16, 0, 64, 1.0, 0.83, 0.36, 15, 12));
+        Lab lab = new Lab(site, record);
+        lab.cloud.neverUp = 6;
+        lab.startAll();
+        lab.pollAll(1000);
+        Lab.Job job =
+                lab.job(412, "ensemble-rerun", "model-ops", "array", "normal", 6, 16, 8, 30);
+        Lab.setShapes(job, List.of("heron"));
+        job.spec.put("site", "duluth");
+        lab.submit(job, 0);
+        while (lab.seconds() < 27) {
+            Lab.sleep(100);
+        }
+        if (trouble) {
+            for (Lab.Controller controller : lab.controllers) {
+                controller.kill();
+                Lab.sleep(3000);
+                controller.start();
+                while (!controller.ready()) {
+                    Lab.sleep(100);
+                }
+                Lab.sleep(1000);
+            }
+        }
+        while (lab.seconds() < 113 && job.startedAt == 0) {
+            Lab.sleep(200);
+        }
+        if (job.startedAt == 0) {
+            lab.broken(
+                    "accepted_job_must_run",
+                    job.id
+                            + " hasn't begun "
+                            + (System.currentTimeMillis() - job.acceptedAt) / 1000
+                            + " s after it was accepted; "
+                            + lab.cloud.machines.size()
+                            + " machines that never come up are kept");
+        }
+        return result(lab);
+    }
+
     static int idle(File record) throws Exception {
         Lab lab = new Lab(Site.lakeshore(), record);
         lab.startAll();
@@ -162,10 +208,11 @@
         return result(lab);
     }
 
-    /** Small jobs to every node; each is watched for 90 s of waiting. */
-    private static List<Lab.Job> submitSmall(Lab lab, int first, String team) throws Exception {
+    /** So many small jobs to every node; each is watched for 90 s of waiting. */
+    private static List<Lab.Job> submitSmall(Lab lab, int first, String team, int perNode)
+            throws Exception {
         List<Lab.Job> jobs = new ArrayList<>();
-        for (int i = 0; i < 2 * lab.site.controllers; i++) {
+        for (int i = 0; i < perNode * lab.site.controllers; i++) {
             Lab.Job job = lab.job(first + i, "small", team, "array", "normal", 2, 1, 1, 5);
             jobs.add(job);
             lab.submit(job, i);
@@ -221,7 +268,7 @@
             lab.submit(gang, 1);
             Lab.sleep(2000);
         }
-        watch(lab, submitSmall(lab, 500, "finance-desk"), 114);
+        watch(lab, submitSmall(lab, 500, "finance-desk", 2), 114);
         return result(lab);
     }
 
@@ -246,7 +293,7 @@
         while (System.currentTimeMillis() < until && lab.store.malformed < 3) {
             Lab.sleep(100);
         }
-        watch(lab, submitSmall(lab, 500, "roads-desk"), 113);
+        watch(lab, submitSmall(lab, 500, "roads-desk", 1), 113);
         return result(lab);
     }
 
--- a/review/standins-2/Cloud.java
+++ b/review/standins-2/Cloud.java
@@ -19,6 +19,9 @@
     private final List<Shot> shots = new ArrayList<>();
     private int created;
 
+    /** How many machines, the first ones, never come up. */
+    int neverUp;
+
     /** No further machine is available. */
     boolean full;
 
@@ -126,7 +129,9 @@
                                 lab, String.format("i-%06d", ++created), shape, zone, spot);
                 machines.put(machine.host, machine);
                 hosts.add(machine.host);
-                machine.boot(lab.site.bootMillis);
+                if (created > neverUp) {
+                    machine.boot(lab.site.bootMillis);
+                }
             }
             granted.put(rental, hosts);
             lab.note(
