--- a/review/standins-2/Cases.java
+++ b/review/standins-2/Cases.java
@@ -146,7 +146,7 @@
         if (trouble) {
             for (Lab.Controller controller : lab.controllers) {
                 controller.kill();
-                Lab.sleep(3000);
+                Lab.sleep(5000);
                 controller.start();
                 while (!controller.ready()) {
                     Lab.sleep(100);
