Tasks that fit only some machine types get machines that they fit

Cause: an array without type, zone or GPU counted as unconstrained whatever one of its tasks needs. Its demand was a number of CPUs, met with the type that costs least per CPU, and any machine counted as capacity for it.

Change: a job is unconstrained only if its tasks fit every type without GPUs. Others are planned task by task, and their machines are kept like other constrained work's. On the same path: machines with GPUs that are withheld from a job were not counted as its room and yet requested for it, one more with each plan; a starving job that fits only such machines was told to find others.

--- a/src/main/java/io/quincelead/app/ClusterState.java
+++ b/src/main/java/io/quincelead/app/ClusterState.java
@@ -56,9 +56,9 @@
         JobTable jobs = new JobTable(loop, watchCache);
         Policy policy = new Policy(watchCache);
         ZoneTable zones = new ZoneTable(watchCache);
-        ConstrainedDemand constrainedDemand = new ConstrainedDemand(loop, jobs);
         MachineTable machines = new MachineTable(watchCache);
         MachineTypeCatalog machineTypes = new MachineTypeCatalog(watchCache);
+        ConstrainedDemand constrainedDemand = new ConstrainedDemand(loop, jobs, machineTypes);
         ImageCaches imageCaches = new ImageCaches(machines, name -> diskGb(machineTypes, name));
         jobs.onPlacementRecorded(
                 placement -> imageCaches.recordUse(placement.host, placement.job.spec));
--- a/src/main/java/io/quincelead/autoscaler/Autoscaler.java
+++ b/src/main/java/io/quincelead/autoscaler/Autoscaler.java
@@ -83,7 +83,8 @@
         this.callbacks = callbacks;
         CloudClient cloudClient = new CloudClient(eventLoop, transport, settings);
         QueueOrder queueOrder = new QueueOrder(settings, cluster.policy());
-        this.demandForecast = new DemandForecast(eventLoop, queueOrder, settings);
+        this.demandForecast =
+                new DemandForecast(eventLoop, queueOrder, settings, cluster.machineTypes());
         this.committer = new SingleFlightCommitter(leaderStore);
         this.provisioningRequests =
                 new ProvisioningRequests(eventLoop, cluster, leaderStore, cloudClient, committer);
--- a/src/main/java/io/quincelead/autoscaler/ConstrainedWorkPlanner.java
+++ b/src/main/java/io/quincelead/autoscaler/ConstrainedWorkPlanner.java
@@ -83,20 +83,51 @@
         }
         teamUsage(spec).add(spec, neededTasks);
         ZoneLimits zoneLimits = new ZoneLimits(job, cluster);
-        neededTasks = reserveOnExisting(spec, neededTasks, zoneLimits, plan);
-        while (neededTasks > 0) {
-            InstanceOffering offering = cheapestOffering(spec, neededTasks, zoneLimits, plan);
+        neededTasks =
+                planOn(
+                        offering -> !isWithheldForGpuWork(spec, offering),
+                        spec,
+                        neededTasks,
+                        zoneLimits,
+                        plan);
+        // Withheld machines are the last resort, as in the scheduler. Those that exist count before
+        // new ones are requested; each plan would request further ones otherwise.
+        neededTasks =
+                planOn(
+                        offering -> isWithheldForGpuWork(spec, offering),
+                        spec,
+                        neededTasks,
+                        zoneLimits,
+                        plan);
+        if (neededTasks > 0
+                && blockedSpecs.size() < SchedulerConstants.MAX_CONSTRAINED_DEMANDS
+                && isBlockedByRefusalsOnly(spec, zoneLimits)) {
+            blockedSpecs.add(spec);
+        }
+    }
+
+    /**
+     * Plans tasks on machines of the offerings that the predicate admits, on existing machines
+     * first; returns how many tasks are left over.
+     */
+    private int planOn(
+            Predicate<InstanceOffering> isAdmitted,
+            JobSpec spec,
+            int neededTasks,
+            ZoneLimits zoneLimits,
+            ProvisioningPlan plan) {
+        int remainingTasks = reserveOnExisting(isAdmitted, spec, neededTasks, zoneLimits, plan);
+        while (remainingTasks > 0) {
+            InstanceOffering offering =
+                    cheapestOffering(isAdmitted, spec, remainingTasks, zoneLimits, plan);
             if (offering == null) {
-                if (blockedSpecs.size() < SchedulerConstants.MAX_CONSTRAINED_DEMANDS
-                        && isBlockedByRefusalsOnly(spec, zoneLimits)) {
-                    blockedSpecs.add(spec);
-                }
-                return;
+                break;
             }
             PlannedMachine machine = new PlannedMachine(offering);
-            neededTasks -= reserve(spec, neededTasks, machine, zoneLimits);
+            remainingTasks -= reserve(spec, remainingTasks, machine, zoneLimits);
             plan.addNew(machine);
         }
+        return remainingTasks;
     }
 
     /**
@@ -132,14 +163,17 @@
      * Reserves capacity for tasks on machines of the plan; returns how many tasks are left over.
      */
     private int reserveOnExisting(
-            JobSpec spec, int neededTasks, ZoneLimits zoneLimits, ProvisioningPlan plan) {
+            Predicate<InstanceOffering> isAdmitted,
+            JobSpec spec,
+            int neededTasks,
+            ZoneLimits zoneLimits,
+            ProvisioningPlan plan) {
         int remainingTasks = neededTasks;
         for (PlannedMachine machine : plan.machines()) {
             if (remainingTasks <= 0) {
                 break;
             }
-            if (!isWithheldForGpuWork(spec, machine.offering())
-                    && machine.offering().allows(spec)) {
+            if (machine.offering().allows(spec) && isAdmitted.test(machine.offering())) {
                 remainingTasks -= reserve(spec, remainingTasks, machine, zoneLimits);
             }
         }
@@ -153,6 +187,7 @@
     private boolean isWithheldForGpuWork(JobSpec spec, InstanceOffering offering) {
         return spec.gpus() == 0
                 && spec.machineTypes() == null
+                && cluster.machineTypes().canFitWithoutGpus(spec)
                 && cluster.constrainedDemand()
                         .isGpuInDemand(offering.machineType(), offering.zone(), offering.spot());
     }
@@ -190,9 +225,13 @@
         return false;
     }
 
-    /** The available offering that costs least per task; null when there is none. */
+    /** The available and admitted offering that costs least per task; null when there is none. */
     private InstanceOffering cheapestOffering(
-            JobSpec spec, int neededTasks, ZoneLimits zoneLimits, ProvisioningPlan plan) {
+            Predicate<InstanceOffering> isAdmitted,
+            JobSpec spec,
+            int neededTasks,
+            ZoneLimits zoneLimits,
+            ProvisioningPlan plan) {
         InstanceOffering best = null;
         double bestCost = Double.MAX_VALUE;
         for (MachineType machineType : cluster.machineTypes().all()) {
@@ -204,7 +243,9 @@
                             Math.min(
                                     Math.min(tasksPerMachine, neededTasks),
                                     zoneLimits.remainingTasks(zone));
-                    if (usableTasks <= 0 || !isAvailable(offering, spec)) {
+                    if (usableTasks <= 0
+                            || !isAvailable(offering, spec)
+                            || !isAdmitted.test(offering)) {
                         continue;
                     }
                     double cost = costPerTask(offering, spec, usableTasks);
--- a/src/main/java/io/quincelead/autoscaler/DemandForecast.java
+++ b/src/main/java/io/quincelead/autoscaler/DemandForecast.java
@@ -3,6 +3,7 @@
 import io.quincelead.cluster.Job;
 import io.quincelead.cluster.JobSpec;
 import io.quincelead.cluster.JobTable;
+import io.quincelead.cluster.MachineTypeCatalog;
 import io.quincelead.cluster.Placement;
 import io.quincelead.cluster.TaskStatePage;
 import io.quincelead.config.Settings;
@@ -21,12 +22,19 @@
     private final EventLoop eventLoop;
     private final QueueOrder queueOrder;
     private final Settings settings;
-    private final OfferedLoad offeredLoad = new OfferedLoad();
+    private final MachineTypeCatalog machineTypes;
+    private final OfferedLoad offeredLoad;
 
-    DemandForecast(EventLoop eventLoop, QueueOrder queueOrder, Settings settings) {
+    DemandForecast(
+            EventLoop eventLoop,
+            QueueOrder queueOrder,
+            Settings settings,
+            MachineTypeCatalog machineTypes) {
         this.eventLoop = eventLoop;
         this.queueOrder = queueOrder;
         this.settings = settings;
+        this.machineTypes = machineTypes;
+        this.offeredLoad = new OfferedLoad(machineTypes);
     }
 
     /**
@@ -55,7 +63,7 @@
             usedCpus = addRunningWork(job, nowMillis, workByDeadline, usedCpus);
             if (!job.isCancelled()
                     && job.pendingTaskCount() > 0
-                    && job.spec.isUnconstrained()
+                    && machineTypes.isUnconstrained(job.spec)
                     && nowMillis >= job.notBeforeMillis()) {
                 double placeableCpus = placeableCpus(job, usedCpusByTeam, pendingCpusByTeam);
                 pendingCpusByTeam.merge(job.spec.team(), placeableCpus, Double::sum);
--- a/src/main/java/io/quincelead/autoscaler/OfferedLoad.java
+++ b/src/main/java/io/quincelead/autoscaler/OfferedLoad.java
@@ -3,6 +3,7 @@
 import io.quincelead.cluster.Job;
 import io.quincelead.cluster.JobSpec;
 import io.quincelead.cluster.JobTable;
+import io.quincelead.cluster.MachineTypeCatalog;
 import io.quincelead.config.constants.AutoscalerConstants;
 import java.util.HashSet;
 import java.util.Set;
@@ -16,6 +17,7 @@
         AutoscalerConstants.SHORT_LOAD_WINDOW_SECONDS, AutoscalerConstants.LONG_LOAD_WINDOW_SECONDS
     };
 
+    private final MachineTypeCatalog machineTypes;
     private final Set<String> observedJobIds = new HashSet<>();
 
     /** CPU seconds of the jobs that arrived, decaying; by window, then by priority. */
@@ -30,6 +32,10 @@
     /** When the first observation was made; negative: there was none yet. */
     private long observingSinceMillis = -1;
 
+    OfferedLoad(MachineTypeCatalog machineTypes) {
+        this.machineTypes = machineTypes;
+    }
+
     /**
      * Updates the averages with the jobs that have arrived and the tasks that are placed or pending
      * at this time.
@@ -64,7 +70,7 @@
             openCpus[priority] *= decay;
         }
         for (Job job : jobs.all()) {
-            if (!job.isCancelled() && job.spec.isUnconstrained()) {
+            if (!job.isCancelled() && machineTypes.isUnconstrained(job.spec)) {
                 openCpus[job.spec.priority().ordinal()] +=
                         (1 - decay)
                                 * (job.placedTaskCount()
@@ -80,7 +86,7 @@
         for (Job job : jobs.all()) {
             // Jobs present at the first observation say nothing about the arrival rate.
             if (observedJobIds.add(job.spec.jobId())
-                    && job.spec.isUnconstrained()
+                    && machineTypes.isUnconstrained(job.spec)
                     && !isFirstObservation) {
                 for (double[] cpuSecondsByPriority : arrivedCpuSeconds) {
                     cpuSecondsByPriority[job.spec.priority().ordinal()] +=
--- a/src/main/java/io/quincelead/autoscaler/ScaleOutPlanner.java
+++ b/src/main/java/io/quincelead/autoscaler/ScaleOutPlanner.java
@@ -71,7 +71,7 @@
         ProvisioningPlan plan = new ProvisioningPlan();
         addExistingMachines(plan);
         for (QueueOrder.QueueEntry entry : pendingJobs) {
-            if (!entry.job().spec.isUnconstrained()) {
+            if (!cluster.machineTypes().isUnconstrained(entry.job().spec)) {
                 constrainedWork.plan(entry.job(), plan);
             }
         }
--- a/src/main/java/io/quincelead/autoscaler/UnconstrainedWorkPlanner.java
+++ b/src/main/java/io/quincelead/autoscaler/UnconstrainedWorkPlanner.java
@@ -87,7 +87,7 @@
         for (Job job : cluster.jobs().all()) {
             if (!job.isCancelled()
                     && job.pendingTaskCount() > 0
-                    && job.spec.isUnconstrained()
+                    && cluster.machineTypes().isUnconstrained(job.spec)
                     && (smallestSpec == null || job.spec.cpus() < smallestSpec.cpus())) {
                 smallestSpec = job.spec;
             }
--- a/src/main/java/io/quincelead/cluster/ConstrainedDemand.java
+++ b/src/main/java/io/quincelead/cluster/ConstrainedDemand.java
@@ -30,6 +30,7 @@
     }
 
     private final EventLoop loop;
+    private final MachineTypeCatalog machineTypes;
 
     /** Event-loop time at which a job with these requirements last appeared; oldest first. */
     private final Map<Requirements, Long> lastRequestedAtMillis = new LinkedHashMap<>();
@@ -40,14 +41,15 @@
     private long lastDecayMillis;
 
     /** Creates an instance that records the demand of each job added to the table from now on. */
-    public ConstrainedDemand(EventLoop loop, JobTable jobs) {
+    public ConstrainedDemand(EventLoop loop, JobTable jobs, MachineTypeCatalog machineTypes) {
         this.loop = loop;
+        this.machineTypes = machineTypes;
         jobs.onJobAdded(this::recordDemand);
     }
 
     private void recordDemand(Job job) {
         JobSpec spec = job.spec;
-        if (spec.isUnconstrained()) {
+        if (machineTypes.isUnconstrained(spec)) {
             return;
         }
         // Old jobs are not counted: they all appear at once when this process starts, which says
--- a/src/main/java/io/quincelead/cluster/JobSpec.java
+++ b/src/main/java/io/quincelead/cluster/JobSpec.java
@@ -132,8 +132,12 @@
         return mode == Mode.SERVICE;
     }
 
-    /** Whether the job may run on any machine and its demand is measured in CPUs alone. */
-    public boolean isUnconstrained() {
+    /**
+     * Whether the job is an array that names no machine type, zone or pricing and needs no GPUs.
+     * Its tasks may still be too large for some machine types: see {@link
+     * MachineTypeCatalog#isUnconstrained}.
+     */
+    public boolean allowsAnyOffering() {
         return isArray()
                 && gpus == 0
                 && machineTypes == null
--- a/src/main/java/io/quincelead/cluster/MachineTypeCatalog.java
+++ b/src/main/java/io/quincelead/cluster/MachineTypeCatalog.java
@@ -103,13 +103,44 @@
      * Whether an empty machine of some allowed type and zone has capacity for one task of the job.
      */
     public boolean canEverFit(JobSpec spec) {
+        return machineTypes.values().stream().anyMatch(machineType -> canRunOn(machineType, spec));
+    }
+
+    /**
+     * Whether the job's tasks may run on every machine without GPUs, so that its demand can be
+     * measured in CPUs alone. While no machine type is known, each job that allows any offering
+     * counts.
+     */
+    public boolean isUnconstrained(JobSpec spec) {
+        if (!spec.allowsAnyOffering()) {
+            return false;
+        }
+        boolean hasTypeWithoutGpus = false;
+        for (MachineType machineType : machineTypes.values()) {
+            if (machineType.gpus() > 0) {
+                continue;
+            }
+            if (!machineType.fits(spec)) {
+                return false;
+            }
+            hasTypeWithoutGpus = true;
+        }
+        return hasTypeWithoutGpus || !isLoaded();
+    }
+
+    /**
+     * Whether the job may run on an empty machine without GPUs. Machines whose GPUs other work
+     * needs can be withheld from such a job.
+     */
+    public boolean canFitWithoutGpus(JobSpec spec) {
         return machineTypes.values().stream()
-                .anyMatch(
-                        machineType ->
-                                isAllowed(spec, machineType.name())
-                                        && machineType.fits(spec)
-                                        && (spec.zone() == null
-                                                || machineType.zones().contains(spec.zone())));
+                .anyMatch(machineType -> machineType.gpus() == 0 && canRunOn(machineType, spec));
+    }
+
+    private static boolean canRunOn(MachineType machineType, JobSpec spec) {
+        return isAllowed(spec, machineType.name())
+                && machineType.fits(spec)
+                && (spec.zone() == null || machineType.zones().contains(spec.zone()));
     }
 
     /** Whether the job may run on machines of this type. */
--- a/src/main/java/io/quincelead/scheduler/EscalationPolicy.java
+++ b/src/main/java/io/quincelead/scheduler/EscalationPolicy.java
@@ -179,7 +179,7 @@
         private boolean claimLastingCapacity(JobSpec spec, LastingCapacity capacity) {
             boolean leavesReserve =
                     spec.priority() == JobSpec.Priority.BEST_EFFORT
-                            && spec.isUnconstrained()
+                            && spec.allowsAnyOffering()
                             && plan.urgentReserveCpus > 0;
             if (leavesReserve
                     || loop.nowMillis() - capacity.sinceMillis
--- a/src/main/java/io/quincelead/scheduler/Placer.java
+++ b/src/main/java/io/quincelead/scheduler/Placer.java
@@ -100,7 +100,7 @@
         int tasks = Math.min(wanted, plan.tasksWithinQuotaShare(spec));
         if (tasks <= 0
                 || spec.priority() != JobSpec.Priority.BEST_EFFORT
-                || !spec.isUnconstrained()) {
+                || !spec.allowsAnyOffering()) {
             return tasks;
         }
         // Capacity that urgent work will soon need is left free: preempting best-effort work loses
--- a/src/main/java/io/quincelead/scheduler/QueueScheduler.java
+++ b/src/main/java/io/quincelead/scheduler/QueueScheduler.java
@@ -235,6 +235,7 @@
                         wallMillis, storeUnderPressure, gpusInDemand, takeBestEffortTurn());
         new QueueWalk(
                         plan,
+                        cluster.machineTypes(),
                         placer,
                         preemption,
                         quotaAccumulator,
--- a/src/main/java/io/quincelead/scheduler/QueueWalk.java
+++ b/src/main/java/io/quincelead/scheduler/QueueWalk.java
@@ -2,6 +2,7 @@
 
 import io.quincelead.cluster.Job;
 import io.quincelead.cluster.JobSpec;
+import io.quincelead.cluster.MachineTypeCatalog;
 import io.quincelead.config.constants.SchedulerConstants;
 import java.util.List;
 import org.slf4j.Logger;
@@ -30,6 +31,7 @@
             boolean bestEffortDue) {}
 
     private final SchedulingPlan plan;
+    private final MachineTypeCatalog machineTypes;
     private final Placer placer;
     private final Preemption preemption;
     private final QuotaAccumulator quotaAccumulator;
@@ -44,6 +46,7 @@
 
     QueueWalk(
             SchedulingPlan plan,
+            MachineTypeCatalog machineTypes,
             Placer placer,
             Preemption preemption,
             QuotaAccumulator quotaAccumulator,
@@ -51,6 +54,7 @@
             UnservedJobTracker unservedJobs,
             Conditions conditions) {
         this.plan = plan;
+        this.machineTypes = machineTypes;
         this.placer = placer;
         this.preemption = preemption;
         this.quotaAccumulator = quotaAccumulator;
@@ -140,7 +144,7 @@
             QueueOrder.QueueEntry entry, int unplaced, boolean alreadyInPlan) {
         Job job = entry.job();
         int stillUnplaced = unplaced;
-        if (!job.spec.isUnconstrained()) {
+        if (!machineTypes.isUnconstrained(job.spec)) {
             // Unconstrained work can find other machines, so machines whose GPUs gangs demand stay
             // withheld from it.
             stillUnplaced = placer.place(entry, true);
--- a/src/test/java/io/quincelead/scheduler/ClusterFixture.java
+++ b/src/test/java/io/quincelead/scheduler/ClusterFixture.java
@@ -84,7 +84,7 @@
                             machines,
                             catalog,
                             new ImageCaches(machines, label -> 50),
-                            new ConstrainedDemand(loop, jobs),
+                            new ConstrainedDemand(loop, jobs, catalog),
                             policy),
                     new MachineStatus() {
                         @Override
