--- a/src/test/java/io/quincelead/simulation/SimulatedNetwork.java
+++ b/src/test/java/io/quincelead/simulation/SimulatedNetwork.java
@@ -389,6 +389,18 @@
         return senderIp;
     }
 
+    /** Delivers a copy of a request that was answered before; nobody receives its response. */
+    void deliverCopy(Exchange exchange) {
+        deliver(
+                new Request(
+                        SimulatedCluster.USERS_ADDRESS,
+                        exchange.to,
+                        exchange.method,
+                        exchange.path,
+                        exchange.body),
+                IGNORE_RESPONSE);
+    }
+
     private void deliver(Request request, ResponseHandler onResponse) {
         RequestHandler handler = handlersByAddress.get(request.to);
         if (handler == null) {
