--- a/src/main/java/io/quincelead/scheduler/QueueScheduler.java
+++ b/src/main/java/io/quincelead/scheduler/QueueScheduler.java
@@ -232,10 +232,13 @@
         boolean gpusInDemand = plan.pools.values().stream().anyMatch(pool -> pool.gpusInDemand);
         QueueWalk.Conditions conditions =
                 new QueueWalk.Conditions(
-                        wallMillis, storeUnderPressure, gpusInDemand, takeBestEffortTurn());
+                        cluster.machineTypes(),
+                        wallMillis,
+                        storeUnderPressure,
+                        gpusInDemand,
+                        takeBestEffortTurn());
         new QueueWalk(
                         plan,
-                        cluster.machineTypes(),
                         placer,
                         preemption,
                         quotaAccumulator,
--- a/src/main/java/io/quincelead/scheduler/QueueWalk.java
+++ b/src/main/java/io/quincelead/scheduler/QueueWalk.java
@@ -18,6 +18,7 @@
     /**
      * Conditions that hold for the whole walk.
      *
+     * @param machineTypes the machine types that the cloud offers
      * @param wallMillis wall-clock time in milliseconds since 1970
      * @param storeUnderPressure whether backpressure is so high that minimising writes takes
      *     precedence over minimising lost work
@@ -25,13 +26,13 @@
      * @param bestEffortDue whether best-effort work is placed in this walk
      */
     record Conditions(
+            MachineTypeCatalog machineTypes,
             long wallMillis,
             boolean storeUnderPressure,
             boolean gpusInDemand,
             boolean bestEffortDue) {}
 
     private final SchedulingPlan plan;
-    private final MachineTypeCatalog machineTypes;
     private final Placer placer;
     private final Preemption preemption;
     private final QuotaAccumulator quotaAccumulator;
@@ -46,7 +47,6 @@
 
     QueueWalk(
             SchedulingPlan plan,
-            MachineTypeCatalog machineTypes,
             Placer placer,
             Preemption preemption,
             QuotaAccumulator quotaAccumulator,
@@ -54,7 +54,6 @@
             UnservedJobTracker unservedJobs,
             Conditions conditions) {
         this.plan = plan;
-        this.machineTypes = machineTypes;
         this.placer = placer;
         this.preemption = preemption;
         this.quotaAccumulator = quotaAccumulator;
@@ -144,7 +143,7 @@
             QueueOrder.QueueEntry entry, int unplaced, boolean alreadyInPlan) {
         Job job = entry.job();
         int stillUnplaced = unplaced;
-        if (!machineTypes.isUnconstrained(job.spec)) {
+        if (!conditions.machineTypes.isUnconstrained(job.spec)) {
             // Unconstrained work can find other machines, so machines whose GPUs gangs demand stay
             // withheld from it.
             stillUnplaced = placer.place(entry, true);
--- a/src/test/java/io/quincelead/simulation/LateCopyTest.java
+++ b/src/test/java/io/quincelead/simulation/LateCopyTest.java
@@ -177,7 +177,7 @@
                             cluster.random().nextInt(cluster.controllers.size()), awayMillis);
             case LEADER ->
                     cluster.faults.crashController(Math.max(0, cluster.leaderIndex()), awayMillis);
-            case ALL_CONTROLLERS -> {
+            default -> {
                 for (int i = 0; i < cluster.controllers.size(); i++) {
                     cluster.faults.crashController(i, awayMillis);
                 }
