Tasks that use up a machine's memory first are planned task by task

Callers saw 9 of 12 tasks (1 CPU, 30 GB) wait for the first 3 to end, though the team's limit and the cloud allowed all: the CPUs left beside the running ones counted as room.

Change: such a job counts as constrained and is planned by what fits each machine.

Evidence: TaskFitTest#allTasksBeginThoughMemoryLimitsHowManyAMachineHolds starts 3 of 12 tasks within 90 s on the sources before, 12 now.

--- a/src/main/java/io/quincelead/cluster/MachineTypeCatalog.java
+++ b/src/main/java/io/quincelead/cluster/MachineTypeCatalog.java
@@ -43,6 +43,11 @@
             return spec.cpus() <= cpus && spec.gpus() <= gpus && spec.memoryGb() <= memoryGb;
         }
 
+        /** Whether CPUs, not memory, limit how many tasks of the job an empty machine holds. */
+        public boolean isLimitedByCpus(JobSpec spec) {
+            return spec.memoryGb() * cpus <= spec.cpus() * memoryGb;
+        }
+
         /** Encodes the record of this type. */
         public ObjectNode encode() {
             return MachineTypeCodec.encode(this);
@@ -107,9 +112,9 @@
     }
 
     /**
-     * Whether the job's tasks may run on every machine without GPUs, so that its demand can be
-     * measured in CPUs alone. While no machine type is known, each job that allows any offering
-     * counts.
+     * Whether the job's tasks may run on every machine without GPUs and use up its CPUs before its
+     * memory, so that the job's demand can be measured in CPUs alone. While no machine type is
+     * known, each job that allows any offering counts.
      */
     public boolean isUnconstrained(JobSpec spec) {
         if (!spec.allowsAnyOffering()) {
@@ -120,7 +125,7 @@
             if (machineType.gpus() > 0) {
                 continue;
             }
-            if (!machineType.fits(spec)) {
+            if (!machineType.fits(spec) || !machineType.isLimitedByCpus(spec)) {
                 return false;
             }
             hasTypeWithoutGpus = true;
--- a/src/test/java/io/quincelead/simulation/TaskFitTest.java
+++ b/src/test/java/io/quincelead/simulation/TaskFitTest.java
@@ -125,4 +125,26 @@
                         .count());
         assertNoViolations(cluster);
     }
+
+    /**
+     * CPUs that are free beside tasks which use all memory counted as capacity for further ones.
+     */
+    @Test
+    void allTasksBeginThoughMemoryLimitsHowManyAMachineHolds() {
+        SimulatedCluster cluster = clusterOfThreeTypes(75);
+        cluster.setTeam("red", 200, 200);
+        cluster.start();
+        cluster.submitAfter(
+                SUBMITTED_AT_MILLIS,
+                JobFixtures.arrayJob(1, "red", JobSpec.Priority.NORMAL, 12)
+                        .cpus(1)
+                        .memoryGb(30)
+                        .runtimeSeconds(900)
+                        .build());
+
+        cluster.runUntil(SUBMITTED_AT_MILLIS + START_LIMIT_MILLIS);
+
+        assertEquals(12, cluster.taskStartsByJob.getOrDefault("wk-000001", 0));
+        assertNoViolations(cluster);
+    }
 }
