A job that waits 45 s for its start makes its own demand for a machine

Cause: on-demand machines are rented for a shortfall of over 0.5 CPUs before a deadline. That of 12 CPU seconds over the planning horizon is smaller, and doesn't grow with age.

Change: once nothing of a job has been placed for 45 s (StartWaits), one of its tasks is reserved on a machine with room, or else the cheapest machine that fits and isn't refused is planned, spot or not, within the team's limit. Machines that are cordoned are no room in the plan, since nothing is placed there.

Evidence: TaskFitTest#smallJobBeginsOnDemandWhileThereAreNoSpotMachines doesn't begin in 90 s on the sources before ("waits beside machines of types []"), begins now.

--- a/src/main/java/io/quincelead/autoscaler/ConstrainedWorkPlanner.java
+++ b/src/main/java/io/quincelead/autoscaler/ConstrainedWorkPlanner.java
@@ -76,30 +76,38 @@
 
     /** Plans machines for the job's pending tasks, as far as its team's limits allow them. */
     void plan(Job job, ProvisioningPlan plan) {
-        JobSpec spec = job.spec;
-        int neededTasks = neededTasks(job);
-        if (neededTasks <= 0) {
+        plan(job, neededTasks(job), plan);
+    }
+
+    /** Plans a machine for one pending task of the job, if its team's limits allow one. */
+    void planOneTask(Job job, ProvisioningPlan plan) {
+        plan(job, Math.min(1, tasksWithinTeamLimit(job)), plan);
+    }
+
+    private void plan(Job job, int tasks, ProvisioningPlan plan) {
+        if (tasks <= 0) {
             return;
         }
-        teamUsage(spec).add(spec, neededTasks);
+        JobSpec spec = job.spec;
+        teamUsage(spec).add(spec, tasks);
         ZoneLimits zoneLimits = new ZoneLimits(job, cluster);
-        neededTasks =
+        int remainingTasks =
                 planOn(
                         offering -> !isWithheldForGpuWork(spec, offering),
                         spec,
-                        neededTasks,
+                        tasks,
                         zoneLimits,
                         plan);
         // Withheld machines are the last resort, as in the scheduler. Those that exist count before
         // new ones are requested; each plan would request further ones otherwise.
-        neededTasks =
+        remainingTasks =
                 planOn(
                         offering -> isWithheldForGpuWork(spec, offering),
                         spec,
-                        neededTasks,
+                        remainingTasks,
                         zoneLimits,
                         plan);
-        if (neededTasks > 0
+        if (remainingTasks > 0
                 && blockedSpecs.size() < SchedulerConstants.MAX_CONSTRAINED_DEMANDS
                 && isBlockedByRefusalsOnly(spec, zoneLimits)) {
             blockedSpecs.add(spec);
@@ -136,19 +144,6 @@
      */
     private int neededTasks(Job job) {
         JobSpec spec = job.spec;
-        Settings.Team team = settings.teams().get(spec.team());
-        if (team == null) {
-            return 0;
-        }
-        TeamUsage teamUsage = teamUsage(spec);
-        int quotaTasks =
-                Tebas.taskCapacity(
-                        team.maxCpus() - teamUsage.cpus,
-                        Double.MAX_VALUE,
-                        team.maxGpus() - teamUsage.gpus,
-                        spec.cpus(),
-                        0,
-                        spec.gpus());
         double startFraction =
                 spec.mode() == JobSpec.Mode.ARRAY
                         ? Math.min(
@@ -156,7 +151,24 @@
                                 Math.max(spec.runtimeSeconds(), 1)
                                         / operatorSettings.drainBacklogSeconds())
                         : 1;
-        return Math.min(quotaTasks, (int) Math.ceil(job.pendingTaskCount() * startFraction));
+        return Math.min(
+                tasksWithinTeamLimit(job), (int) Math.ceil(job.pendingTaskCount() * startFraction));
+    }
+
+    private int tasksWithinTeamLimit(Job job) {
+        JobSpec spec = job.spec;
+        Settings.Team team = settings.teams().get(spec.team());
+        if (team == null) {
+            return 0;
+        }
+        TeamUsage teamUsage = teamUsage(spec);
+        return Tebas.taskCapacity(
+                team.maxCpus() - teamUsage.cpus,
+                Double.MAX_VALUE,
+                team.maxGpus() - teamUsage.gpus,
+                spec.cpus(),
+                0,
+                spec.gpus());
     }
 
     /**
--- a/src/main/java/io/quincelead/autoscaler/ProvisioningPlan.java
+++ b/src/main/java/io/quincelead/autoscaler/ProvisioningPlan.java
@@ -27,16 +27,12 @@
         addCpus(machine.offering());
     }
 
-    /** Adds a new machine on which no capacity can be reserved for tasks. */
-    void addNew(InstanceOffering offering) {
-        newMachineCounts.merge(offering, 1, Integer::sum);
-        addCpus(offering);
-    }
-
     /** Adds a new machine; its free capacity can be reserved for further tasks. */
     void addNew(PlannedMachine machine) {
         machines.add(machine);
-        addNew(machine.offering());
+        InstanceOffering offering = machine.offering();
+        newMachineCounts.merge(offering, 1, Integer::sum);
+        addCpus(offering);
     }
 
     private void addCpus(InstanceOffering offering) {
--- a/src/main/java/io/quincelead/autoscaler/ScaleOutPlanner.java
+++ b/src/main/java/io/quincelead/autoscaler/ScaleOutPlanner.java
@@ -26,6 +26,7 @@
     private final Autoscaler.Callbacks callbacks;
     private final ConstrainedWorkPlanner constrainedWork;
     private final UnconstrainedWorkPlanner unconstrainedWork;
+    private final StartWaits startWaits;
 
     ScaleOutPlanner(
             EventLoop eventLoop,
@@ -50,6 +51,7 @@
         this.unconstrainedWork =
                 new UnconstrainedWorkPlanner(
                         cluster, provisioningRequests, callbacks::isZoneUnavailable);
+        this.startWaits = new StartWaits(eventLoop);
     }
 
     /**
@@ -79,9 +81,25 @@
                 .rebalanceDemand()
                 .forEach((zone, specs) -> specs.forEach(spec -> planRebalance(spec, zone, plan)));
         unconstrainedWork.plan(demand, capacity, plan);
+        planOverdueStarts(pendingJobs, plan);
         return plan.newMachineCounts();
     }
 
+    /**
+     * Plans a machine for one task of each unconstrained job that waits for its start for too long:
+     * the sum of CPUs doesn't show that no task of the job fits what is free on any machine, or
+     * that the machines it was planned on are refused.
+     */
+    private void planOverdueStarts(List<QueueOrder.QueueEntry> pendingJobs, ProvisioningPlan plan) {
+        startWaits.observe(pendingJobs);
+        for (QueueOrder.QueueEntry entry : pendingJobs) {
+            if (cluster.machineTypes().isUnconstrained(entry.job().spec)
+                    && startWaits.isOverdue(entry.job())) {
+                constrainedWork.planOneTask(entry.job(), plan);
+            }
+        }
+    }
+
     /** The jobs with pending tasks, in the order of the queue. */
     private List<QueueOrder.QueueEntry> pendingJobs() {
         long nowMillis = eventLoop.nowMillis();
@@ -100,7 +118,7 @@
     private void addExistingMachines(ProvisioningPlan plan) {
         for (MachineTable.Machine machine : cluster.machines().all()) {
             MachineType machineType = cluster.machineTypes().get(machine.machineType());
-            if (!machine.releasing() && machineType != null) {
+            if (!machine.releasing() && !machine.cordoned() && machineType != null) {
                 PlannedMachine planned =
                         new PlannedMachine(
                                 new InstanceOffering(machineType, machine.zone(), machine.spot()));
--- a/src/main/java/io/quincelead/autoscaler/UnconstrainedWorkPlanner.java
+++ b/src/main/java/io/quincelead/autoscaler/UnconstrainedWorkPlanner.java
@@ -56,7 +56,7 @@
             if (offering == null) {
                 return;
             }
-            plan.addNew(offering);
+            plan.addNew(new PlannedMachine(offering));
             missingCpus -= offering.machineType().cpus();
             onDemandCpus -= offering.machineType().cpus();
         }
--- a/src/main/java/io/quincelead/config/constants/AutoscalerConstants.java
+++ b/src/main/java/io/quincelead/config/constants/AutoscalerConstants.java
@@ -105,6 +105,12 @@
     /** A machine is not cordoned before the cloud has billed it for this time. */
     public static final double MIN_BILLED_BEFORE_CORDON_SECONDS = 50;
 
+    /**
+     * Time for which a job may wait for the start of its first task before a machine is provisioned
+     * for that task alone. With a usual boot, the start follows within the users' 90 s.
+     */
+    public static final long OVERDUE_START_MILLIS = 45_000;
+
     /** Maximum number of provisioning requests without a known outcome. */
     public static final int MAX_OPEN_PROVISIONING_REQUESTS = 6;
 
--- a/src/test/java/io/quincelead/simulation/SimulatedCloud.java
+++ b/src/test/java/io/quincelead/simulation/SimulatedCloud.java
@@ -46,6 +46,9 @@
 
     public boolean down;
 
+    /** Whether there is no capacity for spot machines. */
+    public boolean refusesSpot;
+
     /** Share of machines that never boot. */
     public double bootFailureRate;
 
@@ -170,7 +173,7 @@
                             .filter(worker -> worker.machineType == type && !worker.dead)
                             .count();
             int count = (int) Math.min(body.path("howMany").asInt(), type.capacity() - used);
-            if (count <= 0) {
+            if (count <= 0 || refusesSpot && body.path("preemptible").asBoolean()) {
                 request.respondError(503, "no capacity");
                 return;
             }
--- a/src/test/java/io/quincelead/simulation/TaskFitTest.java
+++ b/src/test/java/io/quincelead/simulation/TaskFitTest.java
@@ -126,6 +126,24 @@
         assertNoViolations(cluster);
     }
 
+    /**
+     * Work too small for a shortfall was never given an on-demand machine, however long it waited.
+     */
+    @Test
+    void smallJobBeginsOnDemandWhileThereAreNoSpotMachines() {
+        SimulatedCluster cluster = clusterOfThreeTypes(74);
+        cluster.cloud.refusesSpot = true;
+        cluster.start();
+        cluster.submitAfter(
+                SUBMITTED_AT_MILLIS,
+                JobFixtures.array(1, "red", JobSpec.Priority.NORMAL, 1, 1, 12));
+
+        cluster.runUntil(SUBMITTED_AT_MILLIS + START_LIMIT_MILLIS);
+
+        assertBegan(cluster, "wk-000001");
+        assertNoViolations(cluster);
+    }
+
     /**
      * CPUs that are free beside tasks which use all memory counted as capacity for further ones.
      */
