A scheduling cycle waits for no more changes than its budget can reach

Cause: a cycle waited for one change for each page of the largest waiting gang, 12; the bucket of the write budget holds 11.4 there. The number of pages is computed in the very cycle that was held back.

Change: the wait is capped at a full budget. A full budget is overdrawn by the missing change where the gang's pages must be in one write, so that the gang begins, too.

Left: gangs of over 2,400 tasks, which no transaction holds.

--- a/src/main/java/io/quincelead/scheduler/SchedulingCycle.java
+++ b/src/main/java/io/quincelead/scheduler/SchedulingCycle.java
@@ -281,7 +281,7 @@
             return;
         }
         int maxOperations = store.maxTransactionOperations();
-        int writeBudget = Math.min(store.affordableWrites(), maxOperations);
+        int writeBudget = plannableWrites();
         boolean admitting = !admissionQueue.isEmpty() && store.canAffordUrgentWrite();
         if (admitting) {
             writeBudget = Math.max(writeBudget, Math.min(admissionQueue.size(), maxOperations));
@@ -317,12 +317,29 @@
                 && fence.trySettle();
     }
 
+    /**
+     * How many changes a plan made now may write. All pages of a gang must be in one write: a full
+     * budget may be overdrawn for a gang with more pages than the budget ever holds.
+     */
+    private int plannableWrites() {
+        int maxOperations = store.maxTransactionOperations();
+        int affordableWrites = Math.min(store.affordableWrites(), maxOperations);
+        if (affordableWrites < store.maxAffordableWrites()) {
+            return affordableWrites;
+        }
+        return Math.max(
+                affordableWrites, Math.min(queueScheduler.largestGangPages(), maxOperations));
+    }
+
+    /** How many changes a cycle waits for; never more than the budget can reach. */
     private int minWriteBudget() {
+        int attainableWrites =
+                Math.min(store.maxAffordableWrites(), store.maxTransactionOperations());
         return Math.min(
                 Math.max(
                         SchedulerConstants.MIN_CHANGES_PER_CYCLE,
                         queueScheduler.largestGangPages()),
-                store.maxTransactionOperations());
+                attainableWrites);
     }
 
     private SchedulingPlan planOrRejectAdmitted(
--- a/src/main/java/io/quincelead/store/StoreClient.java
+++ b/src/main/java/io/quincelead/store/StoreClient.java
@@ -193,6 +193,14 @@
         return affordableWrites;
     }
 
+    /**
+     * The most operations that {@link #affordableWrites} ever allows, with a full budget. It can be
+     * fewer than one transaction holds.
+     */
+    public int maxAffordableWrites() {
+        return (int) Math.floor(writeBudget.capacity());
+    }
+
     /**
      * Whether a transaction that users wait for may be sent. Such transactions take precedence over
      * all others and are sent even when the write budget is overdrawn, by less than one full
--- a/src/main/java/io/quincelead/transport/RateLimiter.java
+++ b/src/main/java/io/quincelead/transport/RateLimiter.java
@@ -77,6 +77,11 @@
         return tokens;
     }
 
+    /** Returns the number of tokens in a full bucket. */
+    public double capacity() {
+        return capacity;
+    }
+
     /**
      * Returns the milliseconds until {@link #tryTake} succeeds if no tokens are taken before; 0 if
      * it succeeds now.
