A machine that was never heard from says nothing about its zone

Cause: a booting machine is given up unless its zone is unreachable. Once its address was on record, which the cloud's list gives for booting machines too, it counted as one that its zone doesn't let through, and so excused itself.

Change: a zone is judged by machines that were heard from or have placements on record.

Evidence: FailedBootTest, rolling restart, fails on the sources before ("it waits") and passes now; with a handover or without a fault it passed before. ZoneRecoveryTest as before (classSetsZonePatience, known red).

--- a/src/main/java/io/quincelead/worker/WorkerFailureDetector.java
+++ b/src/main/java/io/quincelead/worker/WorkerFailureDetector.java
@@ -118,7 +118,9 @@
 
     /**
      * Zones in which hardly any machine gets a heartbeat through to this controller or receives its
-     * responses: the fault is in the network, not in the machines.
+     * responses: the fault is in the network, not in the machines. A machine that never came up
+     * says nothing about its zone; it would count as a sign of a fault in the network that excuses
+     * it.
      */
     private Set<String> unreachableZones(Collection<ShardWorker> workers) {
         long reachableSinceMillis =
@@ -129,7 +131,7 @@
                                         * WorkerConstants.REACHABLE_WITHIN_HEARTBEATS);
         Map<String, int[]> countsByZone = new HashMap<>();
         for (ShardWorker worker : workers) {
-            if (!worker.isBooting() || worker.address != null) {
+            if (!worker.isBooting()) {
                 int[] counts = countsByZone.computeIfAbsent(zoneOf(worker), zone -> new int[2]);
                 counts[0]++;
                 counts[1] +=
