A record that the store refuses stops no other job, and none is accepted that outgrows it

Cause: nothing bounded the description in terms of the record, and 400 counted as an outage, so the cycle made the same plan again.

Change: at the door 400 names the longest field of a job whose record could outgrow the limit with its placements and cancellation. 400 is INVALID unless a lease has ended; a cycle then writes half as many records, down to one, and plans nothing more of a job whose record is refused alone.

--- a/src/main/java/io/quincelead/api/JobSubmissions.java
+++ b/src/main/java/io/quincelead/api/JobSubmissions.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quincelead.cluster.Job;
+import io.quincelead.cluster.JobRecordSize;
 import io.quincelead.cluster.JobSpec;
 import io.quincelead.cluster.JobTable;
 import io.quincelead.config.Settings;
@@ -67,6 +68,16 @@
             queries.query(spec.jobId(), request, ApiResponses.UNPROCESSABLE, reason);
             return;
         }
+        String oversizedField =
+                JobRecordSize.oversizedField(spec, cluster.settings().storeLimits().maxValueKb());
+        if (oversizedField != null) {
+            queries.query(
+                    spec.jobId(),
+                    request,
+                    ApiResponses.BAD_REQUEST,
+                    oversizedField + ": too long for the job's record");
+            return;
+        }
         if (isOverloadedBy(spec)) {
             ApiResponses.respondOverloaded(request);
             return;
--- a/src/main/java/io/quincelead/config/constants/RecordConstants.java
+++ b/src/main/java/io/quincelead/config/constants/RecordConstants.java
@@ -11,5 +11,16 @@
      */
     public static final int MAX_MACHINE_RECORD_CHARS = 7_000;
 
+    /**
+     * Longest text of one placement in a record: task index, host, attempt and their separators.
+     */
+    public static final int MAX_PLACEMENT_BYTES = 24;
+
+    /**
+     * Longest part of a job's record beside its description and placements: controller, times,
+     * field names.
+     */
+    public static final int MAX_JOB_RECORD_OVERHEAD_BYTES = 300;
+
     private RecordConstants() {}
 }
--- a/src/main/java/io/quincelead/scheduler/QueueScheduler.java
+++ b/src/main/java/io/quincelead/scheduler/QueueScheduler.java
@@ -99,6 +99,7 @@
         collectWaitingJobs(plan, plan.leading ? null : leaderId, candidates, jobsAtLeader);
         collectStarvingJobs(plan);
         candidates.addAll(plan.admittedJobs);
+        candidates.removeAll(plan.unrecordableJobs);
         if (!cluster.policy().isActiveGenerationReadable()) {
             // This controller can't read the priority classes in force, and nothing may be placed
             // by any others. Terminations are recorded all the same.
--- a/src/main/java/io/quincelead/scheduler/SchedulingCycle.java
+++ b/src/main/java/io/quincelead/scheduler/SchedulingCycle.java
@@ -71,6 +71,7 @@
      */
     private final IndeterminateWriteFence fence;
 
+    private final TransactionSizeLimit sizeLimit;
     private Phase phase = Phase.IDLE;
     private boolean cycleRequestedMeanwhile;
 
@@ -117,6 +118,7 @@
                         store,
                         cluster,
                         new ReportedMachineStatus(settings, components));
+        this.sizeLimit = new TransactionSizeLimit(store.maxTransactionOperations());
         this.planEncoder = new PlanEncoder(watchCache, membership, cluster.policy());
         this.escalationEncoder = new EscalationEncoder(storeAccess, membership, settings);
         this.fence =
@@ -295,7 +297,9 @@
                 admitting
                         ? admissionQueue.takeAtMost(
                                 SchedulingPlan.maxRecords(
-                                        writeBudget, membership.shards().size(), maxOperations))
+                                        Math.min(writeBudget, sizeLimit.maxRecords()),
+                                        membership.shards().size(),
+                                        maxOperations))
                         : List.of();
         SchedulingPlan plan = planOrRejectAdmitted(writeBudget, admitted);
         // If the store's write budget is what limits the transaction, another one right after it
@@ -359,8 +363,9 @@
                         membership.localShard(),
                         components.leader().isLeading(),
                         membership.shards().size(),
-                        writeBudget,
+                        Math.min(writeBudget, sizeLimit.maxRecords()),
                         store.maxTransactionOperations());
+        plan.unrecordableJobs = sizeLimit.unrecordableJobs();
         plan.addAdmittedJobs(admitted.stream().map(AdmissionQueue.Submission::job).toList());
         taskEvictor.reconcileGangs(plan);
         taskEvictor.drainMachines(plan);
@@ -385,6 +390,7 @@
                 outcome -> {
                     transitionTo(Phase.IDLE);
                     fence.onOutcome(plan.transaction, outcome);
+                    sizeLimit.onOutcome(outcome.result(), plan.recordedJobs());
                     IndependentSteps steps = new IndependentSteps();
                     if (outcome.result() == Transaction.Result.COMMITTED) {
                         steps.run(
--- a/src/main/java/io/quincelead/scheduler/SchedulingPlan.java
+++ b/src/main/java/io/quincelead/scheduler/SchedulingPlan.java
@@ -55,6 +55,9 @@
     /** Jobs that are admitted with this plan, which would record them for the first time. */
     final Set<Job> admittedJobs = new LinkedHashSet<>();
 
+    /** Jobs whose records the store has called invalid; nothing of them is planned. */
+    Set<Job> unrecordableJobs = Set.of();
+
     /** Jobs within their team's guarantee. */
     Set<Job> jobsWithinGuarantee = Set.of();
 
@@ -134,6 +137,11 @@
                 >= maxRecords(writeBudget, shardCount, maxTransactionOps) - reservedRecords;
     }
 
+    /** The jobs whose records the plan edits, one for each record. */
+    List<Job> recordedJobs() {
+        return edits.keySet().stream().map(page -> page.job).toList();
+    }
+
     /** The job's tier in the queue. */
     int tier(Job job) {
         return QueueOrder.tier(
@@ -179,6 +187,9 @@
         TaskStatePage page = job.pageOrEmpty(pageIndex);
         TaskStatePageEdit edit = edits.get(page);
         if (edit == null) {
+            if (unrecordableJobs.contains(job)) {
+                return null;
+            }
             if (isFull()) {
                 truncated = true;
                 return null;
--- a/src/main/java/io/quincelead/store/StoreCodec.java
+++ b/src/main/java/io/quincelead/store/StoreCodec.java
@@ -18,6 +18,9 @@
  * {@code guard}.
  */
 final class StoreCodec {
+    /** Protocol: the error of a put with a lease that has ended. */
+    private static final String EXPIRED_LEASE_ERROR = "no such lease";
+
     private StoreCodec() {}
 
     /** Receives the changes of a watch response in the order of their revisions. */
@@ -79,11 +82,19 @@
                             Transaction.Result.CONFLICT, storeRevision, failedKeys(body));
             case 429 -> outcome(Transaction.Result.THROTTLED, storeRevision);
             case Transport.NOT_SENT -> outcome(Transaction.Result.INVALID, 0);
-            case 400, 503 -> outcome(Transaction.Result.REJECTED, storeRevision);
+            case 400 -> outcome(badRequestResult(body), storeRevision);
+            case 503 -> outcome(Transaction.Result.REJECTED, storeRevision);
             default -> outcome(Transaction.Result.INDETERMINATE, 0);
         };
     }
 
+    /** A transaction with an expired lease may be sent again with another; no other may. */
+    private static Transaction.Result badRequestResult(ObjectNode body) {
+        boolean leaseExpired =
+                body != null && body.path("error").asText().equals(EXPIRED_LEASE_ERROR);
+        return leaseExpired ? Transaction.Result.REJECTED : Transaction.Result.INVALID;
+    }
+
     private static Transaction.Outcome outcome(Transaction.Result result, long storeRevision) {
         return new Transaction.Outcome(result, storeRevision, Set.of());
     }
--- a/src/main/java/io/quincelead/store/Transaction.java
+++ b/src/main/java/io/quincelead/store/Transaction.java
@@ -166,10 +166,11 @@
          * at present.
          */
         THROTTLED,
-        /** Certainly not applied, because of an outage, an expired lease or a malformed request. */
+        /** Certainly not applied, because of an outage or an expired lease. */
         REJECTED,
         /**
-         * Certainly not applied, and never will be as it stands: a key or value can't be encoded.
+         * Certainly not applied, and never will be as it stands: a key or value can't be encoded,
+         * or the store calls the transaction malformed or too large.
          */
         INVALID,
         /**
--- a/src/test/java/io/quincelead/api/UserApiTest.java
+++ b/src/test/java/io/quincelead/api/UserApiTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quincelead.cluster.JobSpec;
 import io.quincelead.simulation.JobFixtures;
@@ -80,6 +81,23 @@
         assertEquals(400, submit(validJob(2).put("shapes", "gull")));
     }
 
+    /** Such a job was accepted, and its record outgrew the store's limit with its placements. */
+    @Test
+    void jobWhoseRecordWouldOutgrowItsLimitReturns400() {
+        ObjectNode fewTasks = validJob(4);
+        ArrayNode shapes = fewTasks.putArray("shapes").add("small");
+        for (int i = 0; i < 400; i++) {
+            shapes.add(String.format("type-%03d", i));
+        }
+        assertEquals(201, submit(fewTasks));
+        ObjectNode manyTasks = validJob(5).put("members", 200);
+        manyTasks.set("shapes", shapes);
+
+        assertEquals(400, submit(manyTasks));
+
+        assertTrue(response.path("error").asText().contains("shapes"));
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
--- a/src/test/java/io/quincelead/simulation/SimulatedStore.java
+++ b/src/test/java/io/quincelead/simulation/SimulatedStore.java
@@ -103,6 +103,12 @@
     /** Selects transactions that are held on their way until the predicate no longer matches. */
     public Predicate<ObjectNode> holdsTransaction = transaction -> false;
 
+    /** Selects transactions that the store calls malformed or too large. */
+    public Predicate<ObjectNode> refusesTransaction = transaction -> false;
+
+    /** Number of transactions that were called malformed or too large. */
+    public int refusedTransactions;
+
     /** Receives each transaction on arrival, before it is processed. */
     public Consumer<ObjectNode> arrivalObserver = transaction -> {};
 
@@ -361,6 +367,11 @@
         arrivalObserver.accept(body);
         JsonNode operations = body.path("then");
         requireWithinLimits(operations.size(), body.path("guards").size());
+        if (refusesTransaction.test(body)) {
+            refusedTransactions++;
+            request.respondError(400, "too large");
+            return;
+        }
         if (!checkOperations(operations)) {
             request.respondError(400, "no such lease");
             return;
