A spread gang whose machines are all in one zone gets 422

Cause: JobSubmissions.unsatisfiableReason asked only for oneZone and site.

Change: a gang or service with scatter needs two zones with a type that holds a task.

Evidence: UserApiTest#spreadGangWhoseMachinesAreInOneZoneReturns422 got 201 on the sources before, 422 now; the same gang gets 201 where there are two zones.

--- a/src/main/java/io/quincelead/api/JobSubmissions.java
+++ b/src/main/java/io/quincelead/api/JobSubmissions.java
@@ -159,7 +159,7 @@
         if (spec.mode() != JobSpec.Mode.ARRAY
                 && spec.zoneSpread()
                 && spec.taskCount() > 1
-                && (spec.zoneAffinity() || spec.zone() != null)) {
+                && (spec.zoneAffinity() || cluster.machineTypes().zonesThatFit(spec).size() < 2)) {
             return "scatter: all tasks at once in one zone are more than half of them";
         }
         return null;
--- a/src/main/java/io/quincelead/cluster/MachineTypeCatalog.java
+++ b/src/main/java/io/quincelead/cluster/MachineTypeCatalog.java
@@ -8,7 +8,9 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /** The machine types that the leader last read from the cloud and recorded for all controllers. */
 public final class MachineTypeCatalog {
@@ -142,6 +144,22 @@
                 .anyMatch(machineType -> machineType.gpus() == 0 && canRunOn(machineType, spec));
     }
 
+    /**
+     * The zones where an empty machine of some allowed type has capacity for one task of the job.
+     */
+    public Set<String> zonesThatFit(JobSpec spec) {
+        Set<String> zones = new TreeSet<>();
+        for (MachineType machineType : machineTypes.values()) {
+            if (canRunOn(machineType, spec)) {
+                zones.addAll(machineType.zones());
+            }
+        }
+        if (spec.zone() != null) {
+            zones.retainAll(Set.of(spec.zone()));
+        }
+        return zones;
+    }
+
     private static boolean canRunOn(MachineType machineType, JobSpec spec) {
         return isAllowed(spec, machineType.name())
                 && machineType.fits(spec)
--- a/src/test/java/io/quincelead/api/UserApiTest.java
+++ b/src/test/java/io/quincelead/api/UserApiTest.java
@@ -7,8 +7,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quincelead.cluster.JobSpec;
 import io.quincelead.simulation.JobFixtures;
+import io.quincelead.simulation.SimulatedCloud;
 import io.quincelead.simulation.SimulatedCluster;
 import io.quincelead.transport.WireFormat;
+import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -137,6 +139,40 @@
         assertEquals(422, submit(gpuJobOnSmallType.put("cards", 1)));
     }
 
+    /**
+     * At most half of a gang's tasks may be in one zone; such a gang was accepted and never began.
+     */
+    @Test
+    void spreadGangWhoseMachinesAreInOneZoneReturns422() {
+        SimulatedCluster oneZone =
+                new SimulatedCluster(
+                        3,
+                        List.of(
+                                new SimulatedCloud.MachineType(
+                                        "small", 8, 0, 32, 0.4, 0.15, 5, List.of("a"), 8)));
+        oneZone.start();
+        oneZone.clock.runUntil(8_000);
+        JobSpec gang =
+                JobFixtures.gang(6, "red", JobSpec.Priority.NORMAL, 4)
+                        .zoneSpread(true)
+                        .runtimeSeconds(10)
+                        .build();
+        int[] statuses = new int[1];
+        oneZone.network.call(
+                SimulatedCluster.USERS_ADDRESS,
+                "10.0.0.1:8080",
+                "POST",
+                "/v2/runs",
+                WireFormat.CBOR.encode(gang.encode()),
+                5_000,
+                (responseStatus, responseBody, retryAfterSeconds) -> statuses[0] = responseStatus);
+
+        oneZone.clock.runUntil(12_000);
+
+        assertEquals(422, statuses[0]);
+        assertEquals(201, submit(gang.encode()));
+    }
+
     @Test
     void unknownJobsPathsAndMethodsAreRejected() {
         assertEquals(404, call("GET", "/v2/runs/wk-123", null));
